--- a/src/bin/ospreyhaven-adapter/main.rs
+++ b/src/bin/linenhill-benchlink/main.rs
@@ -10,7 +10,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("ospreyhaven-adapter: {problem}");
+            eprintln!("linenhill-benchlink: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/ospreyhaven-adapter/wire.rs
+++ b/src/bin/linenhill-benchlink/wire.rs
@@ -2,8 +2,8 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use ospreyhaven::api::*;
-use ospreyhaven::choice::Router;
+use linenhill::api::*;
+use linenhill::choice::Router;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! ospreyhaven decides, for a proxy in front of groups of one primary and its replicas, which member
+//! linenhill decides, for a proxy in front of groups of one primary and its replicas, which member
 //! gets a request, when, and what happens after failures.
 //!
 //! The library does no I/O: feed [`api::Event`]s to [`choice::Router::handle`] with the current time,
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -12,7 +12,7 @@
 "serverChecks":"await","showsRole":"off","wait":50000,"writeMarks":"brought"},"tick":5000,"zone":"a"}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ospreyhaven-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_linenhill-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ospreyhaven::api::*;
+use linenhill::api::*;
 
 fn open_after_removal(open: bool) -> Settings {
     let mut s = settings();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ospreyhaven::api::*;
+use linenhill::api::*;
 
 #[test]
 fn a_session_read_waits_for_a_replica_that_has_its_write() {
