Move the settings type into the library and parse it with miniserde

The adapter and the proxy will read the same settings object, so its one type leaves the adapter's wire.rs for src/settings.rs. miniserde has no rename_all, default or try_from: each field is renamed by hand and optional, and the conversion checks it. Its error names no place, so the field at fault is the one that fails also when it stands alone. serde and serde_json go.

--- a/src/bin/linenhill-benchlink/wire.rs
+++ b/src/bin/linenhill-benchlink/wire.rs
@@ -4,135 +4,11 @@
 use base64::engine::general_purpose::STANDARD;
 use linenhill::api::*;
 use linenhill::choice::Router;
-use serde::Deserialize;
+use linenhill::settings::{self, Names, Profile, WORD_BYTES};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::Arc;
 
-/// Bytes of a word to peers: the member, then milliseconds x 2 + 1 if it is primary.
-const WORD: usize = 10;
-
-/// A count of microseconds in the settings.
-#[derive(Clone, Copy, Default, Deserialize)]
-#[serde(try_from = "f64")]
-struct Micros(u64);
-
-impl TryFrom<f64> for Micros {
-    type Error = String;
-    fn try_from(v: f64) -> Result<Self, String> {
-        if v.is_finite() && v >= 0.0 {
-            Ok(Micros(v as u64))
-        } else {
-            Err(format!("{v} is not a length of time"))
-        }
-    }
-}
-
-impl From<Micros> for Span {
-    fn from(m: Micros) -> Span {
-        Span(m.0)
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Profile {
-    #[serde(default)]
-    tick: Micros,
-    fleet_size: u32,
-    zone: String,
-    classes: Vec<ClassInfo>,
-    #[serde(default)]
-    tenants: Vec<TenantInfo>,
-    #[serde(default)]
-    over_share_worth: f64,
-    discovery: String,
-    limits: LimitInfo,
-    #[serde(default)]
-    prices: PriceInfo,
-    rules: RuleInfo,
-    specifics: Specifics,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ClassInfo {
-    name: String,
-    slo: Micros,
-    semantics: String,
-    #[serde(default)]
-    group: Option<String>,
-    #[serde(default)]
-    window: Micros,
-    points: f64,
-    #[serde(default)]
-    late_worth: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct TenantInfo {
-    name: String,
-    allowance_per_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct LimitInfo {
-    #[serde(default)]
-    cancel: bool,
-    #[serde(default)]
-    may_probe: bool,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    second_copies: bool,
-    max_attempts: u32,
-    #[serde(default)]
-    connect_timeout: Micros,
-    #[serde(default)]
-    idle_close: Micros,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after: Micros,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct PriceInfo {
-    cross_zone: f64,
-    probe: f64,
-    peer: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RuleInfo {
-    #[serde(default)]
-    ask_within: Option<Micros>,
-    cold_from: f64,
-    cold: Micros,
-    fall_multiple: f64,
-    fall: Micros,
-    #[serde(default)]
-    dropped_stay_open: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Specifics {
-    read_level: Vec<String>,
-    #[serde(default)]
-    class_bound: Vec<Micros>,
-    server_checks: String,
-    #[serde(default)]
-    wait: Micros,
-    write_marks: String,
-    counted_from: Micros,
-    shows_role: String,
-}
-
 struct Slot {
     router: Router,
     classes: BTreeMap<String, ClassId>,
@@ -140,20 +16,6 @@
     zero: u64,
 }
 
-#[derive(Default)]
-struct Names(BTreeMap<String, usize>);
-
-impl Names {
-    fn number(&mut self, name: &str) -> usize {
-        if let Some(n) = self.0.get(name) {
-            return *n;
-        }
-        let next = self.0.len();
-        self.0.insert(name.to_string(), next);
-        next
-    }
-}
-
 /// The instances of this process and the state of the batch being read.
 #[derive(Default)]
 pub struct Host {
@@ -355,100 +217,15 @@
             seed.parse::<i128>().map_err(|_| format!("ATTACH: field 'prng' has a wrong value '{seed}'"))?
                 as u64;
         let profile: Profile =
-            serde_json::from_str(text).map_err(|e| format!("ATTACH: field 'profileData': {e}"))?;
-        let now = self.batch.unwrap_or_default().0;
-        let slot = self.slot(profile, seed, Time(now)).map_err(|e| format!("ATTACH: profileData: {e}"))?;
+            settings::parse(text).map_err(|e| format!("ATTACH: field 'profileData': {e}"))?;
+        let now = Time(self.batch.unwrap_or_default().0);
+        let site = profile.site(&mut self.zones).map_err(|e| format!("ATTACH: profileData: {e}"))?;
+        let router = Router::new(site.settings, seed, now);
+        let slot = Slot { router, classes: site.classes, tenants: site.tenants, zero: site.zero };
         self.slots.insert(id, slot);
         Ok(())
     }
 
-    fn slot(&mut self, p: Profile, seed: u64, now: Time) -> Result<Slot, String> {
-        let mut classes = Vec::new();
-        for (i, c) in p.classes.iter().enumerate() {
-            let level = p.specifics.read_level.get(i).ok_or("'readLevel' is shorter than 'classes'")?;
-            let read = match level.as_str() {
-                "mutate" => ReadLevel::Write,
-                "strong" => ReadLevel::Fresh,
-                "causal" => ReadLevel::Session,
-                "lag_bound" => {
-                    let bound = p.specifics.class_bound.get(i);
-                    ReadLevel::Bounded((*bound.ok_or("'classBound' is shorter than 'classes'")?).into())
-                }
-                "eventual" => ReadLevel::Any,
-                v => return Err(format!("unknown 'readLevel' '{v}'")),
-            };
-            let scope = match c.group.as_deref() {
-                Some("all") => RepeatScope::All,
-                _ => RepeatScope::Group,
-            };
-            let effect = match c.semantics.as_str() {
-                "read_like" => Effect::Safe,
-                "idempotency_key" => Effect::Keyed { scope, window: c.window.into() },
-                "non_idempotent" => Effect::Unsafe,
-                v => return Err(format!("unknown 'semantics' '{v}'")),
-            };
-            let aim = c.slo.into();
-            classes.push(Class { aim, effect, worth: c.points, late_worth: c.late_worth, read });
-        }
-        let settings = Settings {
-            tick: p.tick.into(),
-            fleet_size: p.fleet_size,
-            zone: ZoneId(self.zones.number(&p.zone)),
-            classes,
-            tenants: p.tenants.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
-            over_share_worth: p.over_share_worth,
-            discovery: match p.discovery.as_str() {
-                "pushed" => Discovery::Pushed,
-                "on_request" => Discovery::OnRequest,
-                v => return Err(format!("unknown 'discovery' '{v}'")),
-            },
-            limits: Limits {
-                cancel: p.limits.cancel,
-                probe: p.limits.may_probe,
-                peers: p.limits.peers,
-                second_copies: p.limits.second_copies,
-                max_attempts: p.limits.max_attempts,
-                connect_timeout: p.limits.connect_timeout.into(),
-                idle_close: p.limits.idle_close.into(),
-                retry_after: p.limits.retry_after,
-                max_retry_after: p.limits.max_retry_after.into(),
-            },
-            prices: Prices {
-                cross_zone: p.prices.cross_zone,
-                probe: p.prices.probe,
-                peer: p.prices.peer * WORD as f64 / 256.0,
-            },
-            rules: Rules {
-                ask_within: p.rules.ask_within.map_or(Span(u64::MAX), Span::from),
-                cold_from: p.rules.cold_from,
-                cold: p.rules.cold.into(),
-                fall_multiple: p.rules.fall_multiple,
-                fall: p.rules.fall.into(),
-                removal_stays_open: p.rules.dropped_stay_open,
-            },
-            check: match p.specifics.server_checks.as_str() {
-                "off" => ReplicaCheck::None,
-                "bounce" => ReplicaCheck::Refuse,
-                "await" => ReplicaCheck::Wait(p.specifics.wait.into()),
-                v => return Err(format!("unknown 'serverChecks' '{v}'")),
-            },
-            tokens: match p.specifics.write_marks.as_str() {
-                "brought" => Tokens::Carried,
-                "kept" => Tokens::Remembered,
-                v => return Err(format!("unknown 'writeMarks' '{v}'")),
-            },
-            list_names_primary: match p.specifics.shows_role.as_str() {
-                "off" => false,
-                "trailing" | "static" => true,
-                v => return Err(format!("unknown 'showsRole' '{v}'")),
-            },
-        };
-        let classes = p.classes.into_iter().enumerate().map(|(i, c)| (c.name, ClassId(i))).collect();
-        let tenants = p.tenants.into_iter().enumerate().map(|(i, t)| (t.name, TenantId(i))).collect();
-        let zero = p.specifics.counted_from.0;
-        Ok(Slot { router: Router::new(settings, seed, now), classes, tenants, zero })
-    }
-
     fn event(&mut self, p: &mut Parts) -> Result<(), String> {
         let (now, _) = self.batch.unwrap_or_default();
         let id = self.current.ok_or_else(|| format!("{} before any INSTANCE", p.name))?;
@@ -528,7 +305,7 @@
                 let _who: i64 = p.number("who")?;
                 let octets = p.opt("octets")?.unwrap_or("");
                 let bytes = STANDARD.decode(octets).map_err(|_| p.bad("octets", octets))?;
-                let Ok(bytes) = <[u8; WORD]>::try_from(bytes) else { return Ok(()) };
+                let Ok(bytes) = <[u8; WORD_BYTES]>::try_from(bytes) else { return Ok(()) };
                 let word = bytes[4..].iter().fold(0u64, |w, b| w << 8 | u64::from(*b));
                 let member = MemberId(u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]));
                 Event::Told { member, position: Time(word / 2 * 1000), primary: word % 2 == 1 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod api;
 pub mod choice;
+pub mod settings;
 mod state;
 
 /// README's example is compiled with the tests.
