--- /dev/null
+++ b/src/clients/mod.rs
@@ -0,0 +1,5 @@
+//! The clients' side: the listener, and a session for each connection.
+
+pub mod desk;
+pub mod listener;
+pub mod session;
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,134 @@
+//! What a proxy is told at its start: a JSON file, and variables that stand above it.
+
+use crate::discovery::list::{ListDoc, Listing, Names};
+use crate::settings::{self, FormError, Profile, Site, need};
+use miniserde::Deserialize;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Descriptors assumed where the configuration names no limit.
+const SOCKETS: u64 = 1_024;
+
+#[derive(Deserialize)]
+struct ConfigDoc {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Option<LimitsDoc>,
+    known: Option<ListDoc>,
+    settings: Option<Profile>,
+}
+
+#[derive(Deserialize)]
+struct LimitsDoc {
+    sockets: Option<u64>,
+}
+
+/// The configuration, checked.
+pub struct Config {
+    /// The proxy's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that this process may hold.
+    pub sockets: usize,
+    /// The list as it was last known.
+    pub known: Option<Listing>,
+    /// The settings.
+    pub site: Site,
+    /// Numbers of names, those of the settings' zones among them.
+    pub names: Names,
+}
+
+/// Why there is no configuration; printed as one line.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// The variable that names the file is not set.
+    NoFile,
+    /// The file can't be read.
+    Unreadable(PathBuf, io::Error),
+    /// The file's text can't be taken.
+    Malformed(PathBuf, FormError),
+    /// A variable holds something else than it should.
+    Variable(&'static str),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            ConfigError::NoFile => write!(f, "LB_CONFIG names no file"),
+            ConfigError::Unreadable(path, e) => write!(f, "{}: {e}", path.display()),
+            ConfigError::Malformed(path, e) => write!(f, "{}: {e}", path.display()),
+            ConfigError::Variable(name) => write!(f, "{name} is not an address"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// The variables that stand above the file.
+#[derive(Default)]
+pub struct Variables {
+    /// `LB_NAME`.
+    pub name: Option<String>,
+    /// `LB_LISTEN`.
+    pub listen: Option<String>,
+    /// `LB_DISCOVERY`.
+    pub discovery: Option<String>,
+}
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names, and the other variables.
+    pub fn from_environment() -> Result<Config, ConfigError> {
+        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = PathBuf::from(variable("LB_CONFIG").ok_or(ConfigError::NoFile)?);
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+        let variables = Variables {
+            name: variable("LB_NAME"),
+            listen: variable("LB_LISTEN"),
+            discovery: variable("LB_DISCOVERY"),
+        };
+        Config::parse(&text, &path, variables)
+    }
+
+    /// Checks the file's text.
+    pub fn parse(text: &str, path: &Path, variables: Variables) -> Result<Config, ConfigError> {
+        let form = |e: FormError| ConfigError::Malformed(path.to_path_buf(), e);
+        let doc: ConfigDoc = settings::parse(text).map_err(form)?;
+        let address = |given: Option<String>, variable: &'static str, held: Option<String>, field: &str| {
+            if let Some(given) = given {
+                return given.parse().map_err(|_| ConfigError::Variable(variable));
+            }
+            let held = need(field, held).map_err(form)?;
+            held.parse::<SocketAddr>().map_err(|_| form(FormError::Wrong(field.to_string())))
+        };
+        let listen = address(variables.listen, "LB_LISTEN", doc.listen, "listen")?;
+        let discovery = address(variables.discovery, "LB_DISCOVERY", doc.discovery, "discovery")?;
+        let seed = need("seed", doc.seed).map_err(form)?;
+        let seed = u64::from_str_radix(&seed, 16).map_err(|_| form(FormError::Wrong("seed".to_string())))?;
+        let inside = |part: &'static str| {
+            move |e: FormError| {
+                form(match e {
+                    FormError::NotJson => FormError::NotJson,
+                    FormError::Missing(field) => FormError::Missing(format!("{part}.{field}")),
+                    FormError::Wrong(field) => FormError::Wrong(format!("{part}.{field}")),
+                })
+            }
+        };
+        let known = doc.known.map(|k| k.listing().map_err(inside("known"))).transpose()?;
+        let mut names = Names::default();
+        let profile = need("settings", doc.settings).map_err(form)?;
+        let site = profile.site(&mut names.zones).map_err(inside("settings"))?;
+        let sockets = doc.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS);
+        let sockets = usize::try_from(sockets).unwrap_or(usize::MAX);
+        let name = variables.name.or(doc.name).unwrap_or_default();
+        Ok(Config { name, listen, discovery, seed, sockets, known, site, names })
+    }
+}
--- /dev/null
+++ b/src/discovery/http.rs
@@ -0,0 +1,165 @@
+//! An HTTP/1.1 answer as a stream of lines, whether its body is chunked or runs to the connection's end.
+
+use bytes::{Buf, Bytes, BytesMut};
+use httparse::Status;
+use std::fmt;
+use std::io;
+use tokio_util::codec::Decoder;
+
+/// The largest head of an answer, chunk header and line that are taken.
+const HEAD_MOST: usize = 16 * 1024;
+const SIZE_MOST: usize = 64;
+const LINE_MOST: usize = 1024 * 1024;
+const HEADERS_MOST: usize = 64;
+
+/// What is wrong with an answer.
+#[derive(Debug)]
+pub enum HttpError {
+    /// The head can't be read.
+    Head,
+    /// A chunk can't be read.
+    Chunk,
+    /// A line is longer than any list.
+    Line,
+    /// The connection itself failed.
+    Io(io::Error),
+}
+
+impl From<io::Error> for HttpError {
+    fn from(e: io::Error) -> HttpError {
+        HttpError::Io(e)
+    }
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            HttpError::Head => write!(f, "malformed head of an answer"),
+            HttpError::Chunk => write!(f, "malformed chunk"),
+            HttpError::Line => write!(f, "a line over {LINE_MOST} bytes"),
+            HttpError::Io(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+/// Part of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// The status.
+    Head(u16),
+    /// A line of the body, without its end.
+    Line(Bytes),
+    /// The body is over.
+    End,
+}
+
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Head,
+    Size,
+    Data(u64),
+    DataEnd,
+    Plain,
+    Over,
+}
+
+/// The codec.
+#[derive(Default)]
+pub struct WatchCodec {
+    state: State,
+    text: BytesMut,
+}
+
+impl Decoder for WatchCodec {
+    type Item = Piece;
+    type Error = HttpError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Piece>, HttpError> {
+        loop {
+            if let Some(end) = self.text.iter().position(|b| *b == b'\n') {
+                let line = self.text.split_to(end).freeze();
+                self.text.advance(1);
+                return Ok(Some(Piece::Line(line)));
+            }
+            if self.text.len() > LINE_MOST {
+                return Err(HttpError::Line);
+            }
+            match self.state {
+                State::Head => return self.head(src),
+                State::Size => match httparse::parse_chunk_size(src).map_err(|_| HttpError::Chunk)? {
+                    Status::Partial if src.len() > SIZE_MOST => return Err(HttpError::Chunk),
+                    Status::Partial => return Ok(None),
+                    Status::Complete((_, 0)) => {
+                        self.state = State::Over;
+                        return Ok(Some(Piece::End));
+                    }
+                    Status::Complete((length, size)) => {
+                        src.advance(length);
+                        self.state = State::Data(size);
+                    }
+                },
+                State::Data(left) => {
+                    let part = src.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    if part == 0 {
+                        return Ok(None);
+                    }
+                    self.text.extend_from_slice(&src.split_to(part));
+                    let left = left - part as u64;
+                    self.state = if left == 0 { State::DataEnd } else { State::Data(left) };
+                }
+                State::DataEnd => {
+                    if src.len() < 2 {
+                        return Ok(None);
+                    }
+                    if src[..2] != *b"\r\n" {
+                        return Err(HttpError::Chunk);
+                    }
+                    src.advance(2);
+                    self.state = State::Size;
+                }
+                State::Plain => {
+                    if src.is_empty() {
+                        return Ok(None);
+                    }
+                    self.text.extend_from_slice(&src.split());
+                }
+                State::Over => {
+                    src.clear();
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    /// An answer that ends amid a line has just ended.
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Piece>, HttpError> {
+        let item = self.decode(src)?;
+        if item.is_none() {
+            src.clear();
+        }
+        Ok(item)
+    }
+}
+
+impl WatchCodec {
+    fn head(&mut self, src: &mut BytesMut) -> Result<Option<Piece>, HttpError> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut answer = httparse::Response::new(&mut headers);
+        let length = match answer.parse(src).map_err(|_| HttpError::Head)? {
+            Status::Partial if src.len() > HEAD_MOST => return Err(HttpError::Head),
+            Status::Partial => return Ok(None),
+            Status::Complete(length) => length,
+        };
+        let status = answer.code.ok_or(HttpError::Head)?;
+        let chunked = answer.headers.iter().any(|h| {
+            h.name.eq_ignore_ascii_case("transfer-encoding")
+                && h.value.to_ascii_lowercase().ends_with(b"chunked")
+        });
+        src.advance(length);
+        self.state = if chunked { State::Size } else { State::Plain };
+        Ok(Some(Piece::Head(status)))
+    }
+}
--- /dev/null
+++ b/src/discovery/list.rs
@@ -0,0 +1,129 @@
+//! Lists of members: decoded from JSON, checked, and numbered for the decisions.
+
+use crate::api::{GroupId, KindId, ListEntry, MemberId, MemberState, Time, ZoneId};
+use crate::settings::{self, FormError, need};
+use miniserde::Deserialize;
+use std::net::SocketAddr;
+
+/// A list as it is written.
+#[derive(Deserialize)]
+pub struct ListDoc {
+    version: Option<u64>,
+    full: Option<bool>,
+    servers: Option<Vec<ServerDoc>>,
+}
+
+#[derive(Deserialize)]
+struct ServerDoc {
+    id: Option<String>,
+    addr: Option<String>,
+    zone: Option<String>,
+    kind: Option<String>,
+    cell: Option<f64>,
+    state: Option<String>,
+    weight: Option<f64>,
+    started_ms: Option<f64>,
+}
+
+/// A list, or the changes to one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its version.
+    pub version: u64,
+    /// Members that are absent from it are gone.
+    pub full: bool,
+    /// Its entries.
+    pub servers: Vec<Server>,
+}
+
+/// One entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// The member's name.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its group.
+    pub group: u32,
+    /// Its state.
+    pub state: MemberState,
+    /// Its registered size.
+    pub weight: f64,
+    /// When it last started, in Unix milliseconds.
+    pub started_ms: Option<u64>,
+}
+
+/// News of the list.
+pub enum News {
+    /// The list as it was last known, from the configuration.
+    Known(Listing),
+    /// What discovery told.
+    Told(Listing),
+    /// A call failed, or a watch ended.
+    Failed,
+}
+
+/// Reads one line of a watch.
+pub fn decode(line: &[u8]) -> Result<Listing, FormError> {
+    let text = std::str::from_utf8(line).map_err(|_| FormError::NotJson)?;
+    settings::parse::<ListDoc>(text)?.listing()
+}
+
+impl ListDoc {
+    /// Checks every field.
+    pub fn listing(self) -> Result<Listing, FormError> {
+        let mut servers = Vec::new();
+        for (i, s) in need("servers", self.servers)?.into_iter().enumerate() {
+            let at = |field: &str| format!("servers[{i}].{field}");
+            let wrong = |field: &str| FormError::Wrong(at(field));
+            let count = |field: &str, value: Option<f64>| match value.unwrap_or(0.0) {
+                v if v.is_finite() && v >= 0.0 => Ok(v as u64),
+                _ => Err(wrong(field)),
+            };
+            let id = need(&at("id"), s.id)?;
+            let addr = need(&at("addr"), s.addr)?.parse().map_err(|_| wrong("addr"))?;
+            let state = match need(&at("state"), s.state)?.as_str() {
+                "in_service" => MemberState::InService,
+                "terminating" => MemberState::Draining,
+                "terminated" => MemberState::Gone,
+                _ => return Err(wrong("state")),
+            };
+            let group = u32::try_from(count("cell", s.cell)?).map_err(|_| wrong("cell"))?;
+            let weight = s.weight.unwrap_or(1.0);
+            let started_ms = Some(count("started_ms", s.started_ms)?).filter(|ms| *ms > 0);
+            let (zone, kind) = (s.zone.unwrap_or_default(), s.kind.unwrap_or_default());
+            servers.push(Server { id, addr, zone, kind, group, state, weight, started_ms });
+        }
+        Ok(Listing { version: need("version", self.version)?, full: need("full", self.full)?, servers })
+    }
+}
+
+/// The numbers that names have for the decisions, the same over all lists.
+#[derive(Default)]
+pub struct Names {
+    members: settings::Names,
+    kinds: settings::Names,
+    /// The zones, also those of the settings.
+    pub zones: settings::Names,
+}
+
+impl Names {
+    /// An entry for the decisions, and where the member listens.
+    pub fn entry(&mut self, server: Server) -> (ListEntry, SocketAddr) {
+        let entry = ListEntry {
+            member: MemberId(self.members.number(&server.id) as u32),
+            zone: ZoneId(self.zones.number(&server.zone)),
+            kind: KindId(self.kinds.number(&server.kind)),
+            group: GroupId(server.group),
+            state: server.state,
+            weight: server.weight,
+            started: server.started_ms.map(|ms| Time(ms.saturating_mul(1_000))),
+            primary_hint: false,
+        };
+        (entry, server.addr)
+    }
+}
--- /dev/null
+++ b/src/discovery/mod.rs
@@ -0,0 +1,88 @@
+//! Discovery: one watch at a time over HTTP/1.1, and the lists it brings.
+
+pub mod http;
+pub mod list;
+
+use crate::close_reason::{CloseReason, Side, log_close};
+use crate::counters::Counters;
+use crate::stages::Input;
+use futures_util::StreamExt;
+use http::{Piece, WatchCodec};
+use list::News;
+use log::warn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+/// A call that has not been answered by then has failed; discovery gives up on one sooner.
+const ANSWER_WITHIN: Duration = Duration::from_secs(3);
+/// A watch says something every 2 s, if only an empty line: silent for this long, it is dead.
+const SILENT_AFTER: Duration = Duration::from_secs(5);
+
+/// Watches whenever it is asked to, until the watch fails; then says so and waits to be asked again.
+pub async fn run(
+    addr: SocketAddr, mut version: u64, asked: Rc<Notify>, inbox: mpsc::UnboundedSender<Input>,
+    counters: Rc<Counters>,
+) {
+    loop {
+        asked.notified().await;
+        counters.calls.add();
+        let reason = watch(addr, &mut version, &inbox).await;
+        log_close(Side::Discovery, addr, reason);
+        if inbox.send(Input::List(News::Failed)).is_err() {
+            return;
+        }
+    }
+}
+
+async fn watch(addr: SocketAddr, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>) -> CloseReason {
+    let call = format!("GET /v1/endpoints?watch=1&from={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
+    let connect = async {
+        let mut stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        stream.write_all(call.as_bytes()).await?;
+        Ok::<TcpStream, std::io::Error>(stream)
+    };
+    let stream = match timeout(ANSWER_WITHIN, connect).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) => return CloseReason::Refused,
+        Err(_) => return CloseReason::ConnectTimeout,
+    };
+    let mut pieces = FramedRead::new(stream, WatchCodec::default());
+    let mut patience = ANSWER_WITHIN;
+    loop {
+        let line = match timeout(patience, pieces.next()).await {
+            Err(_) => return CloseReason::Silent,
+            Ok(None | Some(Ok(Piece::End))) => return CloseReason::WatchEnded,
+            Ok(Some(Err(problem))) => {
+                warn!("discovery: {problem}");
+                return CloseReason::Protocol;
+            }
+            Ok(Some(Ok(Piece::Head(200)))) => continue,
+            Ok(Some(Ok(Piece::Head(status)))) => {
+                warn!("discovery answered {status}");
+                return CloseReason::Status;
+            }
+            Ok(Some(Ok(Piece::Line(line)))) => line,
+        };
+        patience = SILENT_AFTER;
+        if line.iter().all(u8::is_ascii_whitespace) {
+            continue;
+        }
+        match list::decode(&line) {
+            Ok(listing) => {
+                *version = listing.version;
+                if inbox.send(Input::List(News::Told(listing))).is_err() {
+                    return CloseReason::Stopping;
+                }
+            }
+            // The old list is still the best there is.
+            Err(problem) => warn!("discovery: a list was not taken: {problem}"),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,14 +1,25 @@
-//! linenhill decides, for a proxy in front of groups of one primary and its replicas, which member
-//! gets a request, when, and what happens after failures.
+//! linenhill is a proxy for groups of one primary and its replicas: it decides which member of a group gets
+//! a request, when, and what happens after failures.
 //!
-//! The library does no I/O: feed [`api::Event`]s to [`choice::Router::handle`] with the current time,
-//! and carry out the [`api::Action`]s it pushes.
+//! The decisions do no I/O: a driver feeds [`api::Event`]s to [`choice::Router::handle`] with the current
+//! time, and carries out the [`api::Action`]s it pushes. [`proxy`] is that driver on real sockets; the
+//! adapter `linenhill-benchlink` is one on a simulator's wire.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
 pub mod choice;
+pub mod clients;
+pub mod clock;
+pub mod close_reason;
+pub mod config;
+pub mod counters;
+pub mod discovery;
+pub mod members;
+pub mod pg;
+pub mod proxy;
 pub mod settings;
+pub mod stages;
 mod state;
 
 /// README's example is compiled with the tests.
--- /dev/null
+++ b/src/members/attempt.rs
@@ -0,0 +1,132 @@
+//! The life of one attempt: a connection, the statement, the answer; or its end before that.
+
+use crate::api::{LoadReport, MemberId, Outcome, Role, Time};
+use crate::close_reason::CloseReason;
+use crate::members::link::{Link, Reply};
+use crate::members::pool::Pool;
+use crate::members::report;
+use crate::stages::Payload;
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+/// What is to be done.
+pub struct Errand {
+    /// Where.
+    pub member: MemberId,
+    /// What is sent.
+    pub payload: Payload,
+    /// When waiting ends.
+    pub until: Instant,
+}
+
+/// How it ended.
+pub struct Ending {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer to relay, when served.
+    pub value: Option<Bytes>,
+    /// The member's position, or a write's commit.
+    pub position: Option<Time>,
+    /// Its role.
+    pub role: Option<Role>,
+    /// Its report.
+    pub report: LoadReport,
+}
+
+impl Ending {
+    /// An ending that tells nothing more.
+    pub fn of(outcome: Outcome) -> Ending {
+        Ending { outcome, value: None, position: None, role: None, report: LoadReport::default() }
+    }
+}
+
+/// What the outside may need to know of a run: whether the statement is written, and whose end to explain.
+#[derive(Default)]
+struct Progress {
+    written: Cell<bool>,
+    reason: RefCell<Option<Rc<Cell<CloseReason>>>>,
+}
+
+impl Progress {
+    fn explain(&self, why: CloseReason) {
+        if let Some(reason) = self.reason.borrow().as_ref() {
+            reason.set(why);
+        }
+    }
+}
+
+/// A connection: an idle one, or a new one.
+async fn link(pool: &Pool, member: MemberId) -> Result<Link, Outcome> {
+    if let Some(link) = pool.take(member) {
+        return Ok(link);
+    }
+    let addr = pool.addr(member).ok_or(Outcome::ConnectError)?;
+    // Without a descriptor left nothing is known against the member.
+    let place = pool.place().ok_or(Outcome::Ignored)?;
+    Link::open(addr, place, pool.connect_timeout()).await
+}
+
+async fn exchange(
+    pool: &Pool, member: MemberId, statement: impl FnOnce() -> Bytes, progress: &Progress,
+) -> Result<Reply, Outcome> {
+    let mut link = link(pool, member).await?;
+    *progress.reason.borrow_mut() = Some(link.reason());
+    link.write(statement()).await?;
+    progress.written.set(true);
+    let reply = link.read().await;
+    if reply.reusable {
+        pool.give(member, link);
+    }
+    Ok(reply)
+}
+
+/// Runs an attempt until it is answered, called off or out of time. Its connection is closed, or back in the
+/// pool, before this returns: nothing of a request is out once its ending is known.
+pub async fn run(pool: Pool, errand: Errand, called_off: oneshot::Receiver<()>) -> Ending {
+    let Errand { member, payload, until } = errand;
+    let progress = Progress::default();
+    let statement = || {
+        let left = until.saturating_duration_since(Instant::now());
+        payload.render((left.as_millis() as u64).max(1))
+    };
+    let work = exchange(&pool, member, statement, &progress);
+    tokio::pin!(work);
+    tokio::select! {
+        biased;
+        done = &mut work => match done {
+            Ok(Reply { outcome, raw, position, role, report, .. }) => {
+                let value = (outcome == Outcome::Ok).then_some(raw);
+                Ending { outcome, value, position, role, report }
+            }
+            Err(outcome) => Ending::of(outcome),
+        },
+        _ = called_off => {
+            progress.explain(CloseReason::Cancelled);
+            Ending::of(Outcome::Cancelled)
+        }
+        () = sleep_until(until) => {
+            progress.explain(CloseReason::TimedOut);
+            // What was never written whole can't have run.
+            Ending::of(if progress.written.get() { Outcome::TimedOut } else { Outcome::Ignored })
+        }
+    }
+}
+
+/// Asks a member for its report.
+pub async fn probe(pool: Pool, member: MemberId) -> (Outcome, LoadReport) {
+    let progress = Progress::default();
+    let work = exchange(&pool, member, || Bytes::from_static(b"SHOW health"), &progress);
+    let Ok(done) = tokio::time::timeout(pool.connect_timeout(), work).await else {
+        return (Outcome::TimedOut, LoadReport::default());
+    };
+    match done {
+        Ok(Reply { outcome, column, report: told, .. }) => {
+            let column = column.and_then(|c| String::from_utf8(c.to_vec()).ok());
+            (outcome, column.map_or(told, |text| report::parse(&text)))
+        }
+        Err(outcome) => (outcome, LoadReport::default()),
+    }
+}
--- /dev/null
+++ b/src/members/pool.rs
@@ -0,0 +1,144 @@
+//! Connections kept warm: the one used last is used next, so that the others grow old and are retired well
+//! before the member closes them. One budget of descriptors holds for all members together.
+
+use crate::api::MemberId;
+use crate::close_reason::CloseReason;
+use crate::counters::Counters;
+use crate::members::link::Link;
+use crate::stages::admit::{Admit, Place};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Idle connections are retired at this part of the time after which members close them.
+const RETIRE_PART: f64 = 0.6;
+/// How often idle connections are looked after.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+
+#[derive(Default)]
+struct Slot {
+    addr: Option<SocketAddr>,
+    idle: Vec<(Link, Instant)>,
+}
+
+struct Inner {
+    slots: RefCell<BTreeMap<MemberId, Slot>>,
+    budget: Admit,
+    retire: Duration,
+    connect: Duration,
+    counters: Rc<Counters>,
+}
+
+/// All connections to members.
+#[derive(Clone)]
+pub struct Pool(Rc<Inner>);
+
+impl Pool {
+    /// Holds at most `most` connections; members close idle ones after `idle_close`.
+    pub fn new(most: usize, idle_close: Duration, connect: Duration, counters: Rc<Counters>) -> Pool {
+        let retire = idle_close.mul_f64(RETIRE_PART);
+        let (slots, budget) = (RefCell::default(), Admit::new(most));
+        Pool(Rc::new(Inner { slots, budget, retire, connect, counters }))
+    }
+
+    /// Says where a member listens; connections to where it listened before are given back.
+    pub fn locate(&self, member: MemberId, addr: SocketAddr) {
+        let moved = {
+            let mut slots = self.0.slots.borrow_mut();
+            let slot = slots.entry(member).or_default();
+            if slot.addr.replace(addr) == Some(addr) { Vec::new() } else { std::mem::take(&mut slot.idle) }
+        };
+        end(moved, CloseReason::GivenBack);
+    }
+
+    /// Where a member listens.
+    pub fn addr(&self, member: MemberId) -> Option<SocketAddr> {
+        self.0.slots.borrow().get(&member)?.addr
+    }
+
+    /// How long a new connection may take.
+    pub fn connect_timeout(&self) -> Duration {
+        self.0.connect
+    }
+
+    /// The idle connection that was used last, if one is still good.
+    pub fn take(&self, member: MemberId) -> Option<Link> {
+        loop {
+            let (link, since) = self.0.slots.borrow_mut().get_mut(&member)?.idle.pop()?;
+            if since.elapsed() >= self.0.retire {
+                link.reason().set(CloseReason::Retired);
+            } else if !link.is_quiet() {
+                link.reason().set(CloseReason::PeerClosed);
+            } else {
+                link.reason().set(CloseReason::Cancelled);
+                return Some(link);
+            }
+        }
+    }
+
+    /// Keeps a connection for the next use.
+    pub fn give(&self, member: MemberId, link: Link) {
+        let mut slots = self.0.slots.borrow_mut();
+        match slots.get_mut(&member).filter(|s| s.addr == Some(link.addr())) {
+            Some(slot) => {
+                link.reason().set(CloseReason::GivenBack);
+                slot.idle.push((link, Instant::now()));
+            }
+            None => link.reason().set(CloseReason::GivenBack),
+        }
+    }
+
+    /// Room for one more connection, made if need be by ending the one that was idle longest.
+    pub fn place(&self) -> Option<Place> {
+        if let Some(place) = self.0.budget.enter() {
+            self.0.counters.links.add();
+            return Some(place);
+        }
+        let oldest = {
+            let mut slots = self.0.slots.borrow_mut();
+            let idle = slots.values_mut().filter(|s| !s.idle.is_empty());
+            idle.min_by_key(|s| s.idle[0].1).map(|s| s.idle.remove(0))
+        };
+        end(oldest, CloseReason::GivenBack);
+        let place = self.0.budget.enter()?;
+        self.0.counters.links.add();
+        Some(place)
+    }
+
+    /// Ends the idle connections to a member.
+    pub fn close_idle(&self, member: MemberId) {
+        let idle = self.0.slots.borrow_mut().get_mut(&member).map(|s| std::mem::take(&mut s.idle));
+        end(idle.into_iter().flatten(), CloseReason::GivenBack);
+    }
+
+    /// Ends what is too old or was closed by its member.
+    pub fn sweep(&self) {
+        let (mut old, mut closed) = (Vec::new(), Vec::new());
+        for slot in self.0.slots.borrow_mut().values_mut() {
+            for (link, since) in std::mem::take(&mut slot.idle) {
+                match (since.elapsed() >= self.0.retire, link.is_quiet()) {
+                    (true, _) => old.push((link, since)),
+                    (false, false) => closed.push((link, since)),
+                    (false, true) => slot.idle.push((link, since)),
+                }
+            }
+        }
+        end(old, CloseReason::Retired);
+        end(closed, CloseReason::PeerClosed);
+    }
+
+    /// Sweeps for as long as the program runs.
+    pub async fn look_after(self) {
+        loop {
+            tokio::time::sleep(SWEEP_EVERY).await;
+            self.sweep();
+        }
+    }
+}
+
+fn end(links: impl IntoIterator<Item = (Link, Instant)>, reason: CloseReason) {
+    links.into_iter().for_each(|(link, _)| link.reason().set(reason));
+}
--- /dev/null
+++ b/src/pg/frontend.rs
@@ -0,0 +1,181 @@
+//! The client-facing side: what clients send, decoded, and what they are answered, encoded.
+
+use super::{PgError, frame, text};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The largest startup packet taken, as in PostgreSQL.
+const STARTUP_MOST: usize = 10_000;
+const SSL: u32 = 80_877_103;
+const GSS: u32 = 80_877_104;
+const CANCEL: u32 = 80_877_102;
+
+/// What a client sends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frontend {
+    /// Asks for an encrypted connection.
+    Encryption,
+    /// Asks to cancel what another connection runs.
+    Cancel,
+    /// Opens the session.
+    Startup,
+    /// A simple query's statement.
+    Query(Bytes),
+    /// A message of the extended protocol, by its type.
+    Extended(u8),
+    /// Ends a batch of extended messages.
+    Sync,
+    /// A message that needs no answer outside the state it belongs to.
+    Idle,
+    /// Says goodbye.
+    Terminate,
+}
+
+/// What a client is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// No encryption here.
+    NoEncryption,
+    /// The session is open: authentication, parameters, key.
+    Welcome,
+    /// Ready for the next query.
+    Ready,
+    /// The answer to an empty query.
+    Empty,
+    /// Whole messages as a member gave them.
+    Raw(Bytes),
+    /// An error.
+    Error {
+        /// The connection ends with it.
+        fatal: bool,
+        /// Its SQLSTATE.
+        code: &'static str,
+        /// For people.
+        message: String,
+        /// The field D.
+        detail: Option<String>,
+    },
+}
+
+/// The codec; the first message has no type.
+#[derive(Default)]
+pub struct FrontendCodec {
+    started: bool,
+}
+
+impl Decoder for FrontendCodec {
+    type Item = Frontend;
+    type Error = PgError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frontend>, PgError> {
+        if !self.started {
+            return self.startup(src);
+        }
+        let Some((kind, mut body)) = frame(src)? else { return Ok(None) };
+        body.advance(5);
+        Ok(Some(match kind {
+            b'Q' => {
+                let statement = text(&mut body)?;
+                if !body.is_empty() {
+                    return Err(PgError::Body("more than one text in a query"));
+                }
+                Frontend::Query(statement)
+            }
+            b'X' => Frontend::Terminate,
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => Frontend::Extended(kind),
+            b'S' => Frontend::Sync,
+            b'd' | b'c' | b'f' => Frontend::Idle,
+            _ => return Err(PgError::Kind(kind)),
+        }))
+    }
+
+    /// A peer that ends amid a message has just left.
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Frontend>, PgError> {
+        let item = self.decode(src)?;
+        if item.is_none() {
+            src.clear();
+        }
+        Ok(item)
+    }
+}
+
+impl FrontendCodec {
+    fn startup(&mut self, src: &mut BytesMut) -> Result<Option<Frontend>, PgError> {
+        let Some(length) = src.first_chunk::<4>().map(|b| u32::from_be_bytes(*b) as usize) else {
+            return Ok(None);
+        };
+        if !(8..=STARTUP_MOST).contains(&length) {
+            return Err(PgError::Length(length));
+        }
+        if src.len() < length {
+            return Ok(None);
+        }
+        let mut body = src.split_to(length).freeze();
+        body.advance(4);
+        match body.get_u32() {
+            SSL | GSS => Ok(Some(Frontend::Encryption)),
+            CANCEL => Ok(Some(Frontend::Cancel)),
+            version if version >> 16 == 3 => {
+                self.started = true;
+                Ok(Some(Frontend::Startup))
+            }
+            _ => Err(PgError::Body("unsupported protocol version")),
+        }
+    }
+}
+
+/// Writes a typed message whose length is filled in once its body is there.
+pub(super) fn message(kind: u8, dst: &mut BytesMut, body: impl FnOnce(&mut BytesMut)) {
+    dst.put_u8(kind);
+    let at = dst.len();
+    dst.put_u32(0);
+    body(dst);
+    let length = (dst.len() - at) as u32;
+    dst[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+pub(super) fn put_text(dst: &mut BytesMut, text: &[u8]) {
+    dst.put_slice(text);
+    dst.put_u8(0);
+}
+
+impl Encoder<Answer> for FrontendCodec {
+    type Error = PgError;
+
+    fn encode(&mut self, answer: Answer, dst: &mut BytesMut) -> Result<(), PgError> {
+        match answer {
+            Answer::NoEncryption => dst.put_u8(b'N'),
+            Answer::Welcome => {
+                message(b'R', dst, |b| b.put_u32(0));
+                let parameters =
+                    [("server_version", "15.0"), ("client_encoding", "UTF8"), ("DateStyle", "ISO, MDY")];
+                for (name, value) in parameters {
+                    message(b'S', dst, |b| {
+                        put_text(b, name.as_bytes());
+                        put_text(b, value.as_bytes());
+                    });
+                }
+                message(b'K', dst, |b| b.put_u64(0));
+            }
+            Answer::Ready => message(b'Z', dst, |b| b.put_u8(b'I')),
+            Answer::Empty => message(b'I', dst, |_| {}),
+            Answer::Raw(bytes) => dst.put_slice(&bytes),
+            Answer::Error { fatal, code, message: text, detail } => message(b'E', dst, |b| {
+                let severity: &[u8] = if fatal { b"FATAL" } else { b"ERROR" };
+                let fields = [(b'S', severity), (b'V', severity), (b'C', code.as_bytes())];
+                for (kind, value) in fields {
+                    b.put_u8(kind);
+                    put_text(b, value);
+                }
+                b.put_u8(b'M');
+                put_text(b, text.as_bytes());
+                if let Some(detail) = detail {
+                    b.put_u8(b'D');
+                    put_text(b, detail.as_bytes());
+                }
+                b.put_u8(0);
+            }),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/pg/mod.rs
@@ -0,0 +1,64 @@
+//! PostgreSQL's wire protocol, version 3: frames, and the codecs of both sides.
+
+pub mod backend;
+pub mod frontend;
+pub mod statement;
+
+use bytes::{Buf, Bytes, BytesMut};
+use std::fmt;
+use std::io;
+
+/// The largest message taken: a 64 KiB value written in hexadecimal, and room for the statement round it.
+pub const MESSAGE_MOST: usize = 192 * 1024;
+
+/// What is wrong with the bytes that a peer sent.
+#[derive(Debug)]
+pub enum PgError {
+    /// A length that no message of this kind has.
+    Length(usize),
+    /// A message type that does not exist, or not here.
+    Kind(u8),
+    /// A body that is not as its type says.
+    Body(&'static str),
+    /// The connection itself failed.
+    Io(io::Error),
+}
+
+impl From<io::Error> for PgError {
+    fn from(e: io::Error) -> PgError {
+        PgError::Io(e)
+    }
+}
+
+impl fmt::Display for PgError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            PgError::Length(n) => write!(f, "invalid message length {n}"),
+            PgError::Kind(k) => write!(f, "invalid message type {k}"),
+            PgError::Body(what) => write!(f, "malformed message: {what}"),
+            PgError::Io(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+impl std::error::Error for PgError {}
+
+/// Takes one whole typed message off the front, header included; `None` until it is all there.
+pub(crate) fn frame(src: &mut BytesMut) -> Result<Option<(u8, Bytes)>, PgError> {
+    let Some((&kind, rest)) = src.split_first() else { return Ok(None) };
+    let Some(length) = rest.first_chunk::<4>().map(|b| u32::from_be_bytes(*b) as usize) else {
+        return Ok(None);
+    };
+    if !(4..=MESSAGE_MOST).contains(&length) {
+        return Err(PgError::Length(length));
+    }
+    Ok((src.len() > length).then(|| (kind, src.split_to(1 + length).freeze())))
+}
+
+/// Reads a NUL-terminated text off the front.
+pub(crate) fn text(src: &mut Bytes) -> Result<Bytes, PgError> {
+    let end = src.iter().position(|b| *b == 0).ok_or(PgError::Body("unterminated text"))?;
+    let text = src.split_to(end);
+    src.advance(1);
+    Ok(text)
+}
--- /dev/null
+++ b/src/proxy.rs
@@ -0,0 +1,82 @@
+//! The parts put together: one thread, one driver of the decisions, and tasks for everything that waits.
+
+use crate::choice::Router;
+use crate::clients::desk::Desk;
+use crate::clients::listener::{self, Phase, Room};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::discovery;
+use crate::discovery::list::News;
+use crate::members::pool::Pool;
+use crate::stages::Input;
+use crate::stages::admit::Admit;
+use crate::stages::book::Book;
+use crate::stages::intake::Intake;
+use crate::stages::relay::Relay;
+use crate::stages::route::Route;
+use crate::stages::send::Sender;
+use log::info;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Descriptors kept for what is neither a client nor a member: the listener, discovery, the runtime, the log.
+const OWN: usize = 32;
+/// Of the others: places for clients that are served, for those refused at the edge, and for members.
+const SERVED_PART: f64 = 0.50;
+const REFUSED_PART: f64 = 0.06;
+const MEMBERS_PART: f64 = 0.42;
+/// After being told to stop, connections still come for this long and are served.
+const STILL_SERVING: Duration = Duration::from_millis(450);
+/// What was taken ends by its deadline; the program ends this long after the longest.
+const PAST_LONGEST: Duration = Duration::from_millis(500);
+
+/// Serves until `stop` is ready and all that was taken is answered.
+pub async fn run(
+    config: Config, listener: TcpListener, counters: Rc<Counters>, stop: impl Future<Output = ()>,
+) {
+    LocalSet::new().run_until(serve(config, listener, counters, stop)).await;
+}
+
+async fn serve(
+    config: Config, listener: TcpListener, counters: Rc<Counters>, stop: impl Future<Output = ()>,
+) {
+    let Config { site, names, known, .. } = config;
+    let share = |part: f64| (config.sockets.saturating_sub(OWN) as f64 * part) as usize;
+    let clock = Clock::start();
+    let limits = &site.settings.limits;
+    let idle_close = Duration::from_micros(limits.idle_close.0);
+    let connect = Duration::from_micros(limits.connect_timeout.0).max(Duration::from_millis(1));
+    let pool = Pool::new(share(MEMBERS_PART), idle_close, connect, counters.clone());
+    let (inbox, events) = mpsc::unbounded_channel();
+    let book = Book::new(counters.clone());
+    let sender = Sender::new(pool.clone(), inbox.clone(), book.clone(), limits.max_attempts);
+    let longest = Duration::from_micros(site.longest.0);
+    let intake = Intake::new(&site, clock);
+    let desk = Rc::new(Desk::new(intake, Admit::new(site.max_open), book.clone(), inbox.clone()));
+    let subscribe = Rc::new(Notify::new());
+    let version = known.as_ref().map_or(0, |k| k.version);
+    let router = Router::new(site.settings, config.seed, clock.now());
+    let relay = Relay::new(book);
+    if let Some(known) = known {
+        let _ = inbox.send(Input::List(News::Known(known)));
+    }
+    let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe.clone());
+    spawn_local(route.run());
+    spawn_local(discovery::run(config.discovery, version, subscribe, inbox, counters.clone()));
+    spawn_local(pool.look_after());
+    let room = Room { served: Admit::new(share(SERVED_PART)), refused: Admit::new(share(REFUSED_PART)) };
+    let (tell, phase) = watch::channel(Phase::Serving);
+    let serving = spawn_local(listener::run(listener, desk.clone(), room, phase, counters));
+    stop.await;
+    info!("stopping, {} requests held", desk.held());
+    sleep(STILL_SERVING).await;
+    let _ = tell.send(Phase::Closing);
+    let over = timeout(longest + PAST_LONGEST - STILL_SERVING.min(PAST_LONGEST), serving).await.is_ok();
+    info!("stopped, {}", if over { "all answered" } else { "some still held" });
+}
--- /dev/null
+++ b/src/stages/intake.rs
@@ -0,0 +1,75 @@
+//! Takes a request in: names become numbers, waits become deadlines, positions become ages.
+
+use super::Incoming;
+use crate::api::{ClassId, GroupId, ReadLevel, Request, RequestId, SessionKey, Span};
+use crate::clock::Clock;
+use crate::settings::Site;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// No client waits longer than this, whatever it says.
+const LONGEST_WAIT_MS: u64 = 600_000;
+
+/// Why a request can't be taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IntakeError {
+    /// The class is none of the settings'.
+    UnknownClass,
+}
+
+impl fmt::Display for IntakeError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            IntakeError::UnknownClass => write!(f, "field c names no class of the settings"),
+        }
+    }
+}
+
+impl std::error::Error for IntakeError {}
+
+/// The stage.
+pub struct Intake {
+    classes: BTreeMap<String, ClassId>,
+    levels: Vec<ReadLevel>,
+    clock: Clock,
+    next: Cell<u64>,
+}
+
+/// The session's number: hexadecimal keys as they are, others by a hash (FNV-1a).
+fn session(key: &str) -> SessionKey {
+    let hash = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3);
+    let hashed = || key.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, hash);
+    let hex = Some(key).filter(|k| k.len() == 16).and_then(|k| u64::from_str_radix(k, 16).ok());
+    SessionKey(hex.unwrap_or_else(hashed))
+}
+
+impl Intake {
+    /// Reads classes by the settings.
+    pub fn new(site: &Site, clock: Clock) -> Intake {
+        let levels = site.settings.classes.iter().map(|c| c.read).collect();
+        Intake { classes: site.classes.clone(), levels, clock, next: Cell::new(0) }
+    }
+
+    /// The request as the decisions know it, under an id of our own: clients' ids need not be unique.
+    pub fn take(&self, incoming: &Incoming) -> Result<Request, IntakeError> {
+        let class = *self.classes.get(&incoming.class).ok_or(IntakeError::UnknownClass)?;
+        let level = self.levels.get(class.0).copied().unwrap_or(ReadLevel::Any);
+        let sessions = matches!(level, ReadLevel::Write | ReadLevel::Session);
+        let now = self.clock.now().0;
+        // An age of 0 would mean that there was no write at all.
+        let age = |ms: u64| Span(now.saturating_sub(ms.saturating_mul(1_000)).max(1));
+        let mut id = [b'0'; 36];
+        self.next.set(self.next.get() + 1);
+        id[16..].copy_from_slice(format!("{:020}", self.next.get()).as_bytes());
+        Ok(Request {
+            id: RequestId(id),
+            class,
+            left: Span(incoming.wait_ms.min(LONGEST_WAIT_MS) * 1_000),
+            tenant: None,
+            token_age: incoming.after_ms.filter(|_| level == ReadLevel::Session).map(age),
+            group: GroupId(incoming.group),
+            session: incoming.key.as_deref().filter(|_| sessions).map(session),
+        })
+    }
+}
--- /dev/null
+++ b/src/stages/mod.rs
@@ -0,0 +1,91 @@
+//! The chain that a request passes: taken in, admitted, routed, sent, relayed and booked. The types here know
+//! no protocol, so that another one can stand before the same decisions.
+
+pub mod admit;
+pub mod book;
+pub mod intake;
+pub mod relay;
+pub mod route;
+pub mod send;
+
+use crate::api::{Ended, LoadReport, MemberId, Outcome, Request, RequestId, Span};
+use crate::discovery::list::News;
+use bytes::Bytes;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A request as it will be passed on, cut open where the time left is written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Payload {
+    head: Bytes,
+    tail: Bytes,
+}
+
+impl Payload {
+    /// Cuts `whole` so that what stands from `begin` to `end` is written anew for each attempt.
+    pub fn cut(whole: &Bytes, begin: usize, end: usize) -> Payload {
+        Payload { head: whole.slice(..begin), tail: whole.slice(end..) }
+    }
+
+    /// The request with this many milliseconds left.
+    pub fn render(&self, left_ms: u64) -> Bytes {
+        [&self.head[..], left_ms.to_string().as_bytes(), &self.tail[..]].concat().into()
+    }
+}
+
+/// A request as a protocol hands it in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Incoming {
+    /// The class's name.
+    pub class: String,
+    /// How long the client waits, in milliseconds.
+    pub wait_ms: u64,
+    /// The group.
+    pub group: u32,
+    /// The session's key, if there is one.
+    pub key: Option<String>,
+    /// The position that the read must see, in Unix milliseconds.
+    pub after_ms: Option<u64>,
+    /// What is passed on.
+    pub payload: Payload,
+}
+
+/// The one final answer of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served: the answer as a member gave it, in the protocol's own form.
+    Served(Bytes),
+    /// Refused: a retry does no harm.
+    Refused {
+        /// When to come back.
+        retry_after: Option<Span>,
+    },
+    /// Failed: no word about the effect.
+    Failed,
+}
+
+/// A request that was taken in and admitted.
+pub struct Taken {
+    /// What the decisions are told.
+    pub request: Request,
+    /// What is passed on.
+    pub payload: Payload,
+    /// When the client gives up.
+    pub deadline: Instant,
+    /// Where its final answer goes.
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// What happens to the driver of the decisions.
+pub enum Input {
+    /// A request came.
+    Taken(Box<Taken>),
+    /// The client of a request has left.
+    Gone(RequestId),
+    /// An attempt ended; `closed` is filled in by the driver.
+    Ended(Ended, Option<Bytes>),
+    /// A probe ended.
+    Probed(MemberId, Outcome, LoadReport),
+    /// News of the list.
+    List(News),
+}
--- /dev/null
+++ b/src/stages/route.rs
@@ -0,0 +1,169 @@
+//! The one driver of the decisions: events queue up, each is handled by itself, and the actions it calls for
+//! are carried out in order. What an action brings about comes back as a later event, never at once.
+
+use super::relay::Relay;
+use super::send::Sender;
+use super::{Answer, Input, Taken};
+use crate::api::{Action, Event, ListEntry, ListUpdate, MemberId, Outcome, RequestId, Time};
+use crate::choice::Router;
+use crate::clock::Clock;
+use crate::discovery::list::{Listing, Names, News};
+use crate::members::pool::Pool;
+use log::{error, info};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep_until};
+
+/// Past its deadline by this much, a request is answered whatever the decisions say.
+const OVERDUE: Duration = Duration::from_millis(40);
+
+/// The stage.
+pub struct Route {
+    router: Router,
+    clock: Clock,
+    inbox: mpsc::UnboundedReceiver<Input>,
+    sender: Sender,
+    relay: Relay,
+    pool: Pool,
+    names: Names,
+    subscribe: Rc<Notify>,
+    timers: BTreeSet<(Time, u64)>,
+    due: BTreeSet<(Instant, RequestId)>,
+    actions: Vec<Action>,
+}
+
+impl Route {
+    /// Drives `router` with what comes through `inbox`; a subscription is asked for through `subscribe`.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        router: Router, clock: Clock, inbox: mpsc::UnboundedReceiver<Input>, sender: Sender, relay: Relay,
+        pool: Pool, names: Names, subscribe: Rc<Notify>,
+    ) -> Route {
+        let (timers, due, actions) = (BTreeSet::new(), BTreeSet::new(), Vec::new());
+        Route { router, clock, inbox, sender, relay, pool, names, subscribe, timers, due, actions }
+    }
+
+    /// Runs until nobody can send events any more.
+    pub async fn run(mut self) {
+        loop {
+            let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
+            let wake = timer.into_iter().chain(self.due.first().map(|d| d.0)).min();
+            let input = tokio::select! {
+                biased;
+                input = self.inbox.recv() => input,
+                () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {
+                    self.fire();
+                    continue;
+                }
+            };
+            let Some(input) = input else { return };
+            self.take(input);
+            self.fire();
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = self.clock.now();
+        while let Some((at, token)) = self.timers.first().copied().filter(|t| t.0 <= now) {
+            self.timers.remove(&(at, token));
+            self.handle(Event::Timer { token });
+        }
+        let now = Instant::now();
+        while let Some((at, id)) = self.due.first().copied().filter(|d| d.0 <= now) {
+            self.due.remove(&(at, id));
+            if self.relay.answer(&id, Answer::Failed) {
+                error!("a request was overdue");
+                self.sender.over(id);
+                self.handle(Event::Lapsed { id });
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Taken(taken) => {
+                let Taken { request, payload, deadline, reply } = *taken;
+                self.relay.owe(request.id, reply);
+                self.sender.keep(request.id, payload, deadline);
+                self.due.insert((deadline + OVERDUE, request.id));
+                self.handle(Event::Request(request));
+            }
+            Input::Gone(id) => {
+                if self.relay.lapse(&id) {
+                    self.sender.over(id);
+                    self.handle(Event::Lapsed { id });
+                }
+            }
+            Input::Ended(mut end, value) => {
+                self.sender.ended(end.id, end.attempt);
+                if let (Outcome::Ok, Some(value)) = (end.outcome, value)
+                    && self.relay.answer(&end.id, Answer::Served(value))
+                {
+                    self.sender.over(end.id);
+                }
+                end.closed = !self.relay.owed(&end.id);
+                self.handle(Event::AttemptEnded(end));
+            }
+            Input::Probed(member, outcome, report) => {
+                self.handle(Event::Probed { member, outcome, report });
+            }
+            Input::List(News::Failed) => self.handle(Event::List(ListUpdate::Failed)),
+            Input::List(News::Known(listing)) => {
+                let entries = self.entries(listing);
+                self.handle(Event::List(ListUpdate::Cached(entries)));
+            }
+            Input::List(News::Told(listing)) => {
+                let full = listing.full;
+                info!("list version {} with {} entries, full={full}", listing.version, listing.servers.len());
+                let entries = self.entries(listing);
+                let update = if full { ListUpdate::Full(entries) } else { ListUpdate::Changes(entries) };
+                self.handle(Event::List(update));
+            }
+        }
+    }
+
+    fn entries(&mut self, listing: Listing) -> Arc<Vec<ListEntry>> {
+        let (names, pool) = (&mut self.names, &self.pool);
+        let entry = |server| {
+            let (entry, addr) = names.entry(server);
+            pool.locate(entry.member, addr);
+            entry
+        };
+        Arc::new(listing.servers.into_iter().map(entry).collect())
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, member, timeout } => self.sender.start(id, member, timeout),
+            Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused { retry_after }),
+            Action::Fail { id } => self.finish(id, Answer::Failed),
+            Action::Cancel { id, attempt } => self.sender.cancel(id, attempt),
+            Action::Timer { token, at } => {
+                self.timers.insert((at, token));
+            }
+            Action::Probe { member } => self.sender.probe(member),
+            Action::Subscribe => self.subscribe.notify_one(),
+            Action::Close { member } => self.sender.close(member),
+            // Proxies have no way to talk to each other here, and the settings say so.
+            Action::Tell { member: MemberId(_), .. } => {}
+        }
+    }
+
+    fn finish(&mut self, id: RequestId, answer: Answer) {
+        if self.relay.answer(&id, answer) {
+            self.sender.over(id);
+        }
+    }
+}
--- /dev/null
+++ b/src/stages/send.rs
@@ -0,0 +1,124 @@
+//! Carries out sends: one task for each attempt, called off on demand, and one ending for each.
+
+use super::book::Book;
+use super::{Input, Payload};
+use crate::api::{Ended, LoadReport, MemberId, Outcome, RequestId, Span};
+use crate::members::attempt::{self, Ending, Errand};
+use crate::members::pool::Pool;
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+struct Job {
+    payload: Payload,
+    deadline: Instant,
+    sent: u32,
+    out: BTreeMap<u32, oneshot::Sender<()>>,
+    over: bool,
+}
+
+/// The stage.
+pub struct Sender {
+    jobs: BTreeMap<RequestId, Job>,
+    pool: Pool,
+    inbox: mpsc::UnboundedSender<Input>,
+    book: Book,
+    most: u32,
+}
+
+impl Sender {
+    /// Sends over `pool`, at most `most` attempts for a request; endings go to `inbox`.
+    pub fn new(pool: Pool, inbox: mpsc::UnboundedSender<Input>, book: Book, most: u32) -> Sender {
+        Sender { jobs: BTreeMap::new(), pool, inbox, book, most }
+    }
+
+    /// Keeps what is to be sent for a request.
+    pub fn keep(&mut self, id: RequestId, payload: Payload, deadline: Instant) {
+        let job = Job { payload, deadline, sent: 0, out: BTreeMap::new(), over: false };
+        self.jobs.insert(id, job);
+    }
+
+    /// Starts the next attempt.
+    pub fn start(&mut self, id: RequestId, member: MemberId, timeout: Option<Span>) {
+        let (inbox, started) = (self.inbox.clone(), Instant::now());
+        let Some(job) = self.jobs.get_mut(&id) else {
+            // Not one of ours, or long over: it was never sent.
+            let _ = inbox.send(ended(id, 0, member, started, Ending::of(Outcome::Ignored)));
+            return;
+        };
+        let number = job.sent;
+        job.sent += 1;
+        if job.over || number >= self.most || started >= job.deadline {
+            let _ = inbox.send(ended(id, number, member, started, Ending::of(Outcome::Ignored)));
+            return;
+        }
+        let (call_off, called_off) = oneshot::channel();
+        job.out.insert(number, call_off);
+        let until = match timeout.filter(|t| t.0 > 0) {
+            Some(t) => job.deadline.min(started + Duration::from_micros(t.0)),
+            None => job.deadline,
+        };
+        let errand = Errand { member, payload: job.payload.clone(), until };
+        let (pool, book) = (self.pool.clone(), self.book.clone());
+        book.sent();
+        tokio::task::spawn_local(async move {
+            let ending = attempt::run(pool, errand, called_off).await;
+            book.ended(ending.outcome);
+            let _ = inbox.send(ended(id, number, member, started, ending));
+        });
+    }
+
+    /// Calls an attempt off; one that has ended in the meantime stays as it ended.
+    pub fn cancel(&mut self, id: RequestId, attempt: u32) {
+        if let Some(call_off) = self.jobs.get_mut(&id).and_then(|j| j.out.remove(&attempt)) {
+            let _ = call_off.send(());
+        }
+    }
+
+    /// The request has had its final answer.
+    pub fn over(&mut self, id: RequestId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.over = true;
+            self.tidy(id);
+        }
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, id: RequestId, attempt: u32) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.out.remove(&attempt);
+            self.tidy(id);
+        }
+    }
+
+    fn tidy(&mut self, id: RequestId) {
+        if self.jobs.get(&id).is_some_and(|j| j.over && j.out.is_empty()) {
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Asks a member for its report.
+    pub fn probe(&self, member: MemberId) {
+        let (pool, inbox) = (self.pool.clone(), self.inbox.clone());
+        self.book.probed();
+        tokio::task::spawn_local(async move {
+            let (outcome, report): (Outcome, LoadReport) = attempt::probe(pool, member).await;
+            let _ = inbox.send(Input::Probed(member, outcome, report));
+        });
+    }
+
+    /// Gives back the idle connections to a member.
+    pub fn close(&self, member: MemberId) {
+        self.pool.close_idle(member);
+    }
+}
+
+fn ended(id: RequestId, attempt: u32, member: MemberId, started: Instant, ending: Ending) -> Input {
+    let Ending { outcome, value, position, role, report } = ending;
+    let latency = Span(started.elapsed().as_micros() as u64);
+    let closed = false;
+    let end = Ended { id, attempt, member, outcome, latency, closed, position, role, report };
+    Input::Ended(end, value as Option<Bytes>)
+}
