--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -28,9 +28,9 @@
 /// Descriptors kept for what is neither a client nor a member: the listener, discovery, the runtime, the log.
 const OWN: usize = 32;
 /// Of the others: places for clients that are served, for those refused at the edge, and for members.
-const SERVED_PART: f64 = 0.50;
+const SERVED_PART: f64 = 0.60;
 const REFUSED_PART: f64 = 0.06;
-const MEMBERS_PART: f64 = 0.42;
+const MEMBERS_PART: f64 = 0.32;
 /// After being told to stop, connections still come for this long and are served.
 const STILL_SERVING: Duration = Duration::from_millis(450);
 /// What was taken ends by its deadline; the program ends this long after the longest.
