Refuse what reached nobody by half its time while the primary is away

The log shows both proxies out of reach of some members for 5 s. At fault: winnable() in choice.rs holds such a request to the end of its time. Now it is refused just before half of it, with the time to come back.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -233,9 +233,7 @@
     fn hear(&mut self, id: MemberId, answered: bool) {
         let (now, started_cold) = (self.now, self.set.rules.cold.0);
         let Some(m) = self.members.get_mut(&id) else { return };
-        if answered {
-            m.heard = now;
-        }
+        m.heard = if answered { now } else { m.heard };
         if let Some(ill) = &mut m.ill {
             if !answered && !ill.dead {
                 ill.ready = true; // Probes say only that the process runs: one request may try.
@@ -739,9 +737,8 @@
         if outcome != Outcome::Ok {
             r.missed.insert(member, now);
         }
-        if may_have_run {
-            r.ran_from = Some(r.ran_from.map_or(sent, |t| t.min(sent)));
-        }
+        r.ran_from = may_have_run.then(|| r.ran_from.map_or(sent, |t| t.min(sent))).or(r.ran_from);
+        r.reached |= !matches!(outcome, Outcome::ConnectError | Outcome::Ignored);
         if closed {
             self.forget(id, out);
         } else if r.open.is_empty() {
@@ -854,12 +851,15 @@
 
     // ---- Refusals ----
 
-    /// Whether an answer can still be worth something to the client.
+    /// Whether an answer can still be worth something to the client. What reached nobody while the primary is
+    /// away is let go by half its time, for its client to come back. Harm: an election may end just after.
     fn winnable(&self, r: &Held) -> bool {
         let soonest = self.now + MARGIN + (self.means[r.class] * 0.3) as Us;
         let late_pays = self.set.classes[r.class].late_worth > 0.0;
         let in_time = soonest < r.deadline && (late_pays || soonest < r.aim_at + MARGIN);
-        in_time && r.attempts < self.set.limits.max_attempts
+        let half = self.now + 2 * MARGIN >= r.arrived.midpoint(r.deadline);
+        let stuck = half && !r.reached && self.primary(r.group).is_none();
+        in_time && !stuck && r.attempts < self.set.limits.max_attempts
     }
 
     /// The final answer of a request that can't succeed, at once: refused where a retry does no harm.
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,7 @@
     pub(crate) fall_at: Us,
     pub(crate) worth: f64,
     pub(crate) ran_from: Option<Us>,
+    pub(crate) reached: bool,
     pub(crate) attempts: u32,
     pub(crate) open: Vec<Attempt>,
     pub(crate) missed: BTreeMap<MemberId, Us>,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -395,3 +395,25 @@
     rig.answer(first, 0, 1, Outcome::Ok, 50, Some(rig.now), Some(Role::Primary));
     assert_eq!(rig.sends(modest), [1], "the modest tenant's write goes before forty that waited longer");
 }
+
+// Guards against a write held to the end of its time while its primary can't be reached: its client, told
+// early, comes back; held on, it loses its time and the operators charge for it.
+#[test]
+fn what_reached_nobody_is_refused_by_half_its_time() {
+    let mut rig = Rig::new(settings());
+    let write = rig.ask(WRITE, 2_000, None);
+    rig.wait(250);
+    rig.answer(write, 0, 1, Outcome::ConnectError, 250, None, None);
+    for _ in 0..7 {
+        rig.event(Event::Probed {
+            member: MemberId(1),
+            outcome: Outcome::ConnectError,
+            report: LoadReport::default(),
+        });
+        assert_eq!(rig.finals(write), 0, "there is still time for the primary to come back");
+        rig.wait(100);
+    }
+    rig.wait(40);
+    assert_eq!(rig.finals(write), 1);
+    assert!(matches!(rig.out.last(), Some(Action::Refuse { id, retry_after: Some(_) }) if *id == write));
+}
