Refuse by half its time also what waits for a cold primary

It counts as cold then (hear() in choice.rs: back from the dead before the list told), so its permits let a few through, and winnable() saw a primary that was well. Ruled out: connects, which succeed from 15.4 s on. Left open: a primary that was only out of reach is taken for cold; to tell the two apart would need more than the module is told.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -851,14 +851,15 @@
 
     // ---- Refusals ----
 
-    /// Whether an answer can still be worth something to the client. What reached nobody while the primary is
-    /// away is let go by half its time, for its client to come back. Harm: an election may end just after.
+    /// Whether an answer can still be worth something to the client. What reached nobody, the primary away or
+    /// cold, is let go by half its time, for its client to come back. Harm: an election may end just after.
     fn winnable(&self, r: &Held) -> bool {
         let soonest = self.now + MARGIN + (self.means[r.class] * 0.3) as Us;
         let late_pays = self.set.classes[r.class].late_worth > 0.0;
         let in_time = soonest < r.deadline && (late_pays || soonest < r.aim_at + MARGIN);
         let half = self.now + 2 * MARGIN >= r.arrived.midpoint(r.deadline);
-        let stuck = half && !r.reached && self.primary(r.group).is_none();
+        let away = self.primary(r.group).is_none_or(|p| self.members[&p].cold_since.is_some());
+        let stuck = half && !r.reached && away;
         in_time && !stuck && r.attempts < self.set.limits.max_attempts
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -417,3 +417,18 @@
     assert_eq!(rig.finals(write), 1);
     assert!(matches!(rig.out.last(), Some(Action::Refuse { id, retry_after: Some(_) }) if *id == write));
 }
+
+// Guards against the same loss after the primary is back: counted as cold, it takes only a few at a time.
+#[test]
+fn what_waits_for_a_cold_primary_is_refused_by_half_its_time() {
+    let mut rig = Rig::new(settings());
+    let mut cold: Vec<ListEntry> = (1..=3).map(entry).collect();
+    cold[0].started = Some(Time(rig.now - MS));
+    rig.list(cold);
+    rig.report(1, rig.now, Role::Primary);
+    let writes: Vec<RequestId> = (0..40).map(|_| rig.ask(WRITE, 1_000, None)).collect();
+    rig.wait(490);
+    for write in writes {
+        assert_eq!(rig.sends(write).len() + rig.finals(write), 1, "sent, or refused in time to come back");
+    }
+}
