--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# Build, test, lint and run. `make run` needs the toy of `make toy` in another terminal.
+.PHONY: build test lint run toy
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --locked
+
+lint:
+	cargo fmt --check
+	cargo clippy --locked --all-targets -- -D warnings
+
+run: build
+	LB_CONFIG=examples/config.json target/release/linenhill
+
+toy:
+	cargo run --release --locked --example toy
--- /dev/null
+++ b/examples/toy/peer.rs
@@ -0,0 +1,113 @@
+//! A member and a discovery service that follow a script, for the toy server and the proxy's tests.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use linenhill::pg::frontend::{Answer, Frontend, FrontendCodec};
+use std::future::Future;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Framed;
+
+/// What a member does with a statement.
+pub enum Act {
+    /// Answers with a row of this value.
+    Row(String),
+    /// Answers with an error of this SQLSTATE.
+    Error(&'static str),
+    /// Breaks the connection.
+    Break,
+    /// Says nothing until the proxy hangs up, then calls this.
+    Silence(Box<dyn FnOnce()>),
+}
+
+fn message(kind: u8, body: &[u8]) -> Bytes {
+    let mut out = BytesMut::new();
+    out.put_u8(kind);
+    out.put_u32(4 + body.len() as u32);
+    out.put_slice(body);
+    out.freeze()
+}
+
+fn parameter(name: &str, value: &str) -> Answer {
+    Answer::Raw(message(b'S', format!("{name}\0{value}\0").as_bytes()))
+}
+
+fn row(value: &str) -> [Answer; 3] {
+    let column = [b"\0\x01val\0".as_slice(), &[0; 6], &17u32.to_be_bytes(), &[0xff; 6], &[0, 1]].concat();
+    let length = (value.len() as u32).to_be_bytes();
+    let data = [b"\0\x01".as_slice(), &length, value.as_bytes()].concat();
+    [(b'T', column), (b'D', data), (b'C', b"SELECT 1\0".to_vec())]
+        .map(|(kind, body)| Answer::Raw(message(kind, &body)))
+}
+
+/// Plays one member: every statement is handed to `act`.
+pub async fn member<F, R>(listener: TcpListener, primary: bool, act: F)
+where
+    F: Fn(String) -> R + Clone + 'static,
+    R: Future<Output = Act>,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let act = act.clone();
+        tokio::task::spawn_local(async move { serve(stream, primary, act).await });
+    }
+}
+
+async fn serve<F, R>(stream: TcpStream, primary: bool, act: F) -> Option<()>
+where
+    F: Fn(String) -> R,
+    R: Future<Output = Act>,
+{
+    let mut framed = Framed::new(stream, FrontendCodec::default());
+    while let Some(Ok(got)) = framed.next().await {
+        let mut answers = Vec::new();
+        match got {
+            Frontend::Startup => answers.push(Answer::Welcome),
+            Frontend::Query(text) => {
+                let text = String::from_utf8_lossy(&text).into_owned();
+                let now = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_millis() as u64;
+                let health = format!("x0={}.{:03},x1={}", now / 1_000, now % 1_000, u8::from(primary));
+                let done = if text == "SHOW health" { Act::Row(health.clone()) } else { act(text).await };
+                match done {
+                    Act::Row(value) => answers.extend(row(&value)),
+                    Act::Error(code) => {
+                        let (message, detail) = ("scripted".into(), None);
+                        answers.push(Answer::Error { fatal: false, code, message, detail });
+                    }
+                    Act::Break => return None,
+                    Act::Silence(hung_up) => {
+                        while framed.get_mut().read_u8().await.is_ok() {}
+                        hung_up();
+                        return None;
+                    }
+                }
+                answers.push(parameter("recovery", if primary { "off" } else { "on" }));
+                answers.push(parameter("lsn_ms", &now.to_string()));
+                answers.push(parameter("health", &health));
+            }
+            _ => return None,
+        }
+        answers.push(Answer::Ready);
+        for answer in answers {
+            framed.feed(answer).await.ok()?;
+        }
+        framed.flush().await.ok()?;
+    }
+    None
+}
+
+/// Plays discovery: every watch is given `line`, then empty lines.
+pub async fn discovery(listener: TcpListener, line: String) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let line = line.clone();
+        tokio::task::spawn_local(async move {
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let first = format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1);
+            let mut said = stream.write_all(first.as_bytes()).await;
+            while said.is_ok() {
+                tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+                said = stream.write_all(b"1\r\n\n\r\n").await;
+            }
+        });
+    }
+}
--- a/src/clients/listener.rs
+++ b/src/clients/listener.rs
@@ -40,9 +40,11 @@
     let mut sessions = JoinSet::new();
     loop {
         let accepted = tokio::select! {
+            biased;
+            // What the machine has accepted may hold requests: it comes before the end.
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|p| *p >= Phase::Closing) => break,
             Some(_) = sessions.join_next() => continue,
+            _ = phase.wait_for(|p| *p >= Phase::Closing) => break,
         };
         let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
--- a/src/main.rs
+++ b/src/main.rs
@@ -36,6 +36,7 @@
     };
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen on {listen}: {e}"))?;
+    let listen = listener.local_addr().map_err(|e| format!("listen on {listen}: {e}"))?;
     info!("{} listens on {listen}", config.name);
     let counted = counters.clone();
     let stop = async move {
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,189 @@
+//! Every parser that reads what others write: random cuts of valid input, and random garbage, from fixed
+//! seeds. One helper serves them all.
+
+use bytes::{Bytes, BytesMut};
+use linenhill::config::{Config, Variables};
+use linenhill::discovery::http::WatchCodec;
+use linenhill::discovery::list;
+use linenhill::members::report;
+use linenhill::pg::backend::BackendCodec;
+use linenhill::pg::frontend::FrontendCodec;
+use linenhill::pg::statement;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::fmt::Debug;
+use std::path::Path;
+use tokio_util::codec::Decoder;
+
+/// All that a decoder makes of these parts, up to its first error.
+fn items<D>(mut decoder: D, parts: &[&[u8]]) -> (Vec<String>, bool)
+where
+    D: Decoder,
+    D::Item: Debug,
+{
+    let (mut buffer, mut items) = (BytesMut::new(), Vec::new());
+    for part in parts {
+        buffer.extend_from_slice(part);
+        loop {
+            match decoder.decode(&mut buffer) {
+                Ok(Some(item)) => items.push(format!("{item:?}")),
+                Ok(None) => break,
+                Err(_) => return (items, true),
+            }
+        }
+    }
+    let ended = decoder.decode_eof(&mut buffer).is_err();
+    (items, ended)
+}
+
+/// A parser as a function of parts. Its result may not depend on the cuts, and neither garbage nor valid
+/// input with a stretch of garbage in it may make it panic.
+fn check<T: PartialEq + Debug>(seed: u64, valid: &[u8], parse: impl Fn(&[&[u8]]) -> T) {
+    let mut g = Gen::from_size_and_seed(64, seed);
+    let whole = parse(&[valid]);
+    for _ in 0..200 {
+        let (mut rest, mut parts) = (valid, Vec::new());
+        while !rest.is_empty() {
+            let cut = usize::from(u8::arbitrary(&mut g)) % rest.len() + 1;
+            let (part, after) = rest.split_at(cut);
+            parts.push(part);
+            rest = after;
+        }
+        assert_eq!(parse(&parts), whole, "cut as {parts:?}");
+        let garbage = Vec::<u8>::arbitrary(&mut g);
+        parse(&[&garbage]);
+        let at = usize::arbitrary(&mut g) % (valid.len() + 1);
+        parse(&[&valid[..at], &garbage, &valid[at..]]);
+        parse(&[&valid[..at]]);
+    }
+}
+
+/// A parser that takes all at once.
+fn check_whole<T: Debug>(seed: u64, valid: &[u8], parse: impl Fn(&[u8]) -> T) {
+    check(seed, valid, |parts| format!("{:?}", parse(&parts.concat())));
+}
+
+const QUERY: &[u8] =
+    b"/* id=9b1f03aa5c7e2d41,c=own,d=480,cluster=2,after=1767225600123 */ SELECT val FROM state \
+    WHERE uid = '7f3a9c21e0b4d655'";
+
+fn typed(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind], &(4 + body.len() as u32).to_be_bytes()[..], body].concat()
+}
+
+fn from_client() -> Vec<u8> {
+    let startup = b"\0\0\0\x15\0\x03\0\0user\0client\0\0".to_vec();
+    let query = typed(b'Q', &[QUERY, b"\0"].concat());
+    [startup, query, typed(b'Q', b"\0"), typed(b'P', b"x"), typed(b'S', b""), typed(b'X', b"")].concat()
+}
+
+fn from_member() -> Vec<u8> {
+    let row = [b"\0\x01\0\0\0\x02".as_slice(), &[0x9f, 0x03]].concat();
+    [
+        typed(b'R', &[0; 4]),
+        typed(b'Z', b"I"),
+        typed(b'T', b"\0\x01val\0"),
+        typed(b'D', &row),
+        typed(b'C', b"SELECT 1\0"),
+        typed(b'S', b"lsn_ms\x001767225600123\0"),
+        typed(b'E', b"SERROR\0C72000\0Mbehind\0\0"),
+        typed(b'Z', b"I"),
+    ]
+    .concat()
+}
+
+const LIST: &[u8] = br#"{"version":43,"full":false,"servers":[{"id":"s-5be2a07c","addr":"127.1.0.18:6543",
+    "zone":"a","kind":"m2","cell":3,"state":"terminating","weight":1.0,"started_ms":0}]}"#;
+
+fn from_discovery() -> Vec<u8> {
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n".as_slice();
+    let line = [&[LIST, b"\n"].concat()[..], b"\n"].concat();
+    [head, format!("{:x}\r\n", line.len()).as_bytes(), &line, b"\r\n0\r\n\r\n"].concat()
+}
+
+// Guards against answers that depend on how the network happens to cut a stream.
+#[test]
+fn streams_of_clients_members_and_discovery() {
+    assert_eq!(items(FrontendCodec::default(), &[&from_client()]).0.len(), 6);
+    assert_eq!(items(BackendCodec, &[&from_member()]).0.len(), 8);
+    assert!(items(WatchCodec::default(), &[&from_discovery()]).0.len() > 4);
+    check(1, &from_client(), |parts| items(FrontendCodec::default(), parts));
+    check(2, &from_member(), |parts| items(BackendCodec, parts));
+    check(3, &from_discovery(), |parts| items(WatchCodec::default(), parts));
+}
+
+// Guards against a panic, or a half-read text taken for a whole one.
+#[test]
+fn statements_lists_reports_and_configurations() {
+    let config = include_bytes!("../examples/config.json");
+    let parse = |text: &[u8]| {
+        let text = String::from_utf8_lossy(text);
+        let config = Config::parse(&text, Path::new("config.json"), Variables::default());
+        config.map(|c| c.sockets).map_err(|e| e.to_string())
+    };
+    assert_eq!(parse(config), Ok(1_024));
+    assert!(parse(&config[..config.len() - 2]).is_err());
+    check_whole(4, QUERY, |text| statement::parse(&Bytes::copy_from_slice(text)));
+    check_whole(5, LIST, list::decode);
+    check_whole(6, b"x0=1767225600.123,x1=1,util=0.61", |t| {
+        report::parse(&String::from_utf8_lossy(t)).position
+    });
+    check_whole(7, config, parse);
+}
+
+// Guards against members seeing anything but the client's own statement with the time left.
+#[test]
+fn only_d_is_written_anew() {
+    fn same(before: u32, left: u64, k: u64) -> bool {
+        let text = |d: u64| format!("/* id=a,c=order,d={d},k={k:x},cluster=2 */ INSERT 'x' 'd=1'");
+        let read = statement::parse(&Bytes::from(text(u64::from(before))));
+        read.is_ok_and(|r| r.wait_ms == u64::from(before) && r.payload.render(left) == text(left))
+    }
+    let mut random = QuickCheck::new().rng(Gen::from_size_and_seed(64, 8)).tests(200);
+    random.quickcheck(same as fn(u32, u64, u64) -> bool);
+}
+
+// Guards against a length that makes the proxy set memory aside for what never comes.
+#[test]
+fn lengths_out_of_bounds_are_errors_at_once() {
+    for length in [0u32, 3, 1 << 20, u32::MAX] {
+        let message = [b"Q", &length.to_be_bytes()[..]].concat();
+        let (read, failed) = items(FrontendCodec::default(), &[&from_client()[..21], &message]);
+        assert!(read == ["Startup"] && failed, "{length}");
+        assert!(items(BackendCodec, &[&message]).1, "{length}");
+        assert!(items(FrontendCodec::default(), &[&length.to_be_bytes()]).1, "{length}");
+    }
+}
+
+// Guards against an error that leaves its reader to guess which field is meant.
+#[test]
+fn errors_name_the_field() {
+    let statement = |text: &str| statement::parse(&Bytes::from(text.to_string())).map_err(|e| e.to_string());
+    for (text, field) in [
+        ("/* c=own,d=4 */ SELECT 1", "field id"),
+        ("/* id=1,d=4 */ SELECT 1", "field c"),
+        ("/* id=1,c=own */ SELECT 1", "field d"),
+        ("/* id=1,c=own,d=soon */ SELECT 1", "field d"),
+        ("/* id=1,c=own,d=1,cluster=-1 */ SELECT 1", "field cluster"),
+        ("/* id=1,c=own,d=1,after=x */ SELECT 1", "field after"),
+        ("SELECT 1", "comment"),
+    ] {
+        assert!(statement(text).is_err_and(|e| e.contains(field)), "{text}");
+    }
+    let config = include_str!("../examples/config.json");
+    for (from, to, field) in [
+        ("\"seed\": \"8c1f30d27a5be964\"", "\"seed\": \"x\"", "'seed'"),
+        ("\"listen\": \"127.0.0.1:6543\",", "", "'listen'"),
+        ("\"slo\": 500000", "\"slo\": \"soon\"", "'settings.classes[2].slo'"),
+        ("\"limits\": {\"cancel\"", "\"limits\": 5, \"x\": {\"cancel\"", "'settings.limits'"),
+        ("\"slo\": 500000", "\"slo\": -1", "'settings.classes[2].slo'"),
+        ("\"cell\": 1,", "\"cell\": [],", "'known.servers[0].cell'"),
+        ("\"addr\": \"127.0.0.1:7002\"", "\"addr\": \"here\"", "'known.servers[1].addr'"),
+        ("\"name\": \"toy\"", "name", "JSON"),
+    ] {
+        let text = config.replace(from, to);
+        let problem = Config::parse(&text, Path::new("config.json"), Variables::default()).err();
+        let problem = problem.map(|p| p.to_string()).unwrap_or_default();
+        assert!(problem.starts_with("config.json: ") && problem.contains(field), "{field}: {problem}");
+        assert!(!problem.contains('\n'));
+    }
+}
