Test silence, stops, budgets and broken input on single parts; end when the driver does

Watches and sessions take any stream, so that paused time and streams in memory can stand for a silent discovery, a client without a startup message and broken bytes behind a request. A driver of the decisions that ends would leave a program that answers nothing: now the program ends with it.

--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -12,8 +12,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::Framed;
@@ -38,8 +37,8 @@
     Refuse,
 }
 
-struct Session {
-    framed: Framed<TcpStream, FrontendCodec>,
+struct Session<S> {
+    framed: Framed<S, FrontendCodec>,
     desk: Rc<Desk>,
     /// What came while an earlier query was being answered, and when.
     waiting: VecDeque<(Frontend, Instant)>,
@@ -50,8 +49,8 @@
 }
 
 /// Serves a connection to its end, and says why it ended.
-pub async fn run(
-    stream: TcpStream, desk: Rc<Desk>, manner: Manner, mut phase: watch::Receiver<Phase>,
+pub async fn run<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: S, desk: Rc<Desk>, manner: Manner, mut phase: watch::Receiver<Phase>,
 ) -> CloseReason {
     let framed = Framed::new(stream, FrontendCodec::default());
     let mut s = Session { framed, desk, waiting: VecDeque::new(), broken: None, skipping: false };
@@ -90,7 +89,7 @@
     }
 }
 
-impl Session {
+impl<S: AsyncRead + AsyncWrite + Unpin> Session<S> {
     async fn serve(&mut self, manner: Manner, phase: &mut watch::Receiver<Phase>) -> Result<(), CloseReason> {
         self.start(phase).await?;
         loop {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
@@ -53,6 +53,13 @@
         Ok(Err(_)) => return CloseReason::Refused,
         Err(_) => return CloseReason::ConnectTimeout,
     };
+    follow(stream, version, inbox).await
+}
+
+/// Passes on what a watch brings until it ends; `version` is that of the last list taken.
+pub async fn follow(
+    stream: impl AsyncRead + Unpin, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>,
+) -> CloseReason {
     let mut pieces = FramedRead::new(stream, WatchCodec::default());
     let mut patience = ANSWER_WITHIN;
     loop {
--- a/src/main.rs
+++ b/src/main.rs
@@ -48,7 +48,7 @@
             }
         }
     };
-    proxy::run(config, listener, counters.clone(), stop).await;
+    let served = proxy::run(config, listener, counters.clone(), stop).await;
     info!("counters {counters}");
-    Ok(())
+    served.map_err(|e| e.to_string())
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -17,6 +17,7 @@
 use crate::stages::route::Route;
 use crate::stages::send::Sender;
 use log::info;
+use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,16 +37,28 @@
 /// What was taken ends by its deadline; the program ends this long after the longest.
 const PAST_LONGEST: Duration = Duration::from_millis(500);
 
+/// The driver of the decisions has ended, which it never should: without it nothing is answered.
+#[derive(Debug)]
+pub struct DriverEnded;
+
+impl fmt::Display for DriverEnded {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "the driver of the decisions has ended")
+    }
+}
+
+impl std::error::Error for DriverEnded {}
+
 /// Serves until `stop` is ready and all that was taken is answered.
 pub async fn run(
     config: Config, listener: TcpListener, counters: Rc<Counters>, stop: impl Future<Output = ()>,
-) {
-    LocalSet::new().run_until(serve(config, listener, counters, stop)).await;
+) -> Result<(), DriverEnded> {
+    LocalSet::new().run_until(serve(config, listener, counters, stop)).await
 }
 
 async fn serve(
     config: Config, listener: TcpListener, counters: Rc<Counters>, stop: impl Future<Output = ()>,
-) {
+) -> Result<(), DriverEnded> {
     let Config { site, names, known, .. } = config;
     let share = |part: f64| (config.sockets.saturating_sub(OWN) as f64 * part) as usize;
     let clock = Clock::start();
@@ -67,16 +80,20 @@
         let _ = inbox.send(Input::List(News::Known(known)));
     }
     let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe.clone());
-    spawn_local(route.run());
+    let driver = spawn_local(route.run());
     spawn_local(discovery::run(config.discovery, version, subscribe, inbox, counters.clone()));
     spawn_local(pool.look_after());
     let room = Room { served: Admit::new(share(SERVED_PART)), refused: Admit::new(share(REFUSED_PART)) };
     let (tell, phase) = watch::channel(Phase::Serving);
     let serving = spawn_local(listener::run(listener, desk.clone(), room, phase, counters));
-    stop.await;
+    tokio::select! {
+        () = stop => {}
+        _ = driver => return Err(DriverEnded),
+    }
     info!("stopping, {} requests held", desk.held());
     sleep(STILL_SERVING).await;
     let _ = tell.send(Phase::Closing);
     let over = timeout(longest + PAST_LONGEST - STILL_SERVING.min(PAST_LONGEST), serving).await.is_ok();
     info!("stopped, {}", if over { "all answered" } else { "some still held" });
+    Ok(())
 }
--- /dev/null
+++ b/tests/parts.rs
@@ -0,0 +1,143 @@
+//! Single parts where nothing comes, or too late: paused time and streams in memory.
+
+#[path = "../examples/toy/peer.rs"]
+#[allow(dead_code)] // The tests of the program use the rest.
+mod peer;
+
+use linenhill::api::MemberId;
+use linenhill::clients::desk::Desk;
+use linenhill::clients::listener::Phase;
+use linenhill::clients::session::{self, Manner};
+use linenhill::clock::Clock;
+use linenhill::close_reason::CloseReason;
+use linenhill::config::{Config, Variables};
+use linenhill::counters::Counters;
+use linenhill::discovery::{self, list::News};
+use linenhill::members::link::Link;
+use linenhill::members::pool::Pool;
+use linenhill::stages::admit::Admit;
+use linenhill::stages::book::Book;
+use linenhill::stages::intake::Intake;
+use linenhill::stages::{Answer, Input};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
+/// Follows a watch that is told these parts, 2 s apart; what came of it, and why it ended.
+async fn follow(parts: Vec<String>) -> (u64, usize, CloseReason) {
+    let (inbox, mut events) = mpsc::unbounded_channel();
+    let (stream, mut far) = duplex(4096);
+    let told = async {
+        for part in parts {
+            far.write_all(part.as_bytes()).await.expect("written");
+            sleep(Duration::from_secs(2)).await;
+        }
+        std::future::pending::<()>().await;
+    };
+    let mut version = 41;
+    let reason = tokio::select! {
+        reason = discovery::follow(stream, &mut version, &inbox) => reason,
+        () = told => unreachable!(),
+    };
+    let mut lists = 0;
+    while let Ok(input) = events.try_recv() {
+        lists += usize::from(matches!(input, Input::List(News::Told(_))));
+    }
+    (version, lists, reason)
+}
+
+// Guards against trusting a watch whose service is gone without a word: only its blank lines show it alive.
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_dead_and_a_bad_line_leaves_the_list() {
+    let list = r#"{"version":43,"full":false,"servers":[]}"#;
+    let bad = r#"{"version":44,"full":false,"servers":[{"id":5}]}"#;
+    let alive = [chunk(""), chunk(""), chunk(""), chunk(""), chunk(list), chunk(bad), chunk("")];
+    let parts = [vec![HEAD.to_string()], alive.to_vec()].concat();
+    assert_eq!(follow(parts).await, (43, 1, CloseReason::Silent));
+    assert_eq!(follow(vec![]).await, (41, 0, CloseReason::Silent));
+    let busy = "HTTP/1.1 503 Service Unavailable\r\n\r\n".to_string();
+    assert_eq!(follow(vec![busy]).await, (41, 0, CloseReason::Status));
+    assert_eq!(follow(vec![format!("{HEAD}0\r\n\r\n")]).await, (41, 0, CloseReason::WatchEnded));
+}
+
+type Events = mpsc::UnboundedReceiver<Input>;
+
+/// A session on one end of a stream, before a desk whose events are at hand.
+fn session() -> (DuplexStream, Events, impl Future<Output = CloseReason>, watch::Sender<Phase>) {
+    let text = include_str!("../examples/config.json");
+    let config =
+        Config::parse(text, Path::new("config.json"), Variables::default()).expect("a configuration");
+    let (inbox, events) = mpsc::unbounded_channel();
+    let intake = Intake::new(&config.site, Clock::start());
+    let desk = Desk::new(intake, Admit::new(9), Book::new(Rc::new(Counters::default())), inbox);
+    let (near, far) = duplex(4096);
+    let (tell, phase) = watch::channel(Phase::Serving);
+    (near, events, session::run(far, Rc::new(desk), Manner::Serve, phase), tell)
+}
+
+// Guards against connections that cost a descriptor for ever and never say a word.
+#[tokio::test(start_paused = true)]
+async fn a_client_without_a_startup_message_is_let_go() {
+    let (near, _events, session, _tell) = session();
+    assert_eq!(session.await, CloseReason::StartupTimeout);
+    drop(near);
+}
+
+// Guards against losing what was taken when the client's next bytes make no sense, or when a stop comes.
+#[tokio::test(start_paused = true)]
+async fn what_was_taken_is_answered_before_the_connection_ends() {
+    for broken in [true, false] {
+        let (mut near, mut events, session, tell) = session();
+        let client = async {
+            let query = b"/* id=1,c=list,d=900,cluster=1 */ SELECT 1\0";
+            let length = (4 + query.len() as u32).to_be_bytes();
+            let startup = b"\0\0\0\x08\0\x03\0\0".as_slice();
+            let rest = if broken { b"Q\0\0\0\0".as_slice() } else { b"" };
+            near.write_all(&[startup, b"Q", &length, query, rest].concat()).await.expect("written");
+            let Some(Input::Taken(taken)) = events.recv().await else { panic!("nothing was taken") };
+            let _ = tell.send(Phase::Closing);
+            sleep(Duration::from_millis(300)).await;
+            taken.reply.send(Answer::Served(b"the row".as_slice().into())).expect("still owed");
+            let mut got = Vec::new();
+            near.read_to_end(&mut got).await.expect("read");
+            let got = String::from_utf8_lossy(&got).into_owned();
+            assert!(got.contains("the row") && got.contains("08P01") == broken, "{got:?}");
+        };
+        let (reason, ()) = tokio::join!(session, client);
+        assert_eq!(reason, if broken { CloseReason::Protocol } else { CloseReason::Stopping });
+    }
+}
+
+// Guards against writing to a connection that its member may be closing, and against a descriptor too many.
+#[tokio::test]
+async fn old_links_are_not_used_and_idle_ones_make_room() {
+    let act = |_| std::future::ready(peer::Act::Break);
+    let play = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        tokio::task::spawn_local(peer::member(listener, true, act));
+        for (idle_close, kept) in [(Duration::ZERO, false), (Duration::from_secs(3_600), true)] {
+            let (m, long) = (MemberId(1), Duration::from_secs(60));
+            let pool = Pool::new(1, idle_close, long, Rc::new(Counters::default()));
+            pool.locate(m, at);
+            let place = pool.place().expect("a place");
+            let Ok(link) = Link::open(at, place, long).await else { panic!("no link") };
+            assert!(pool.place().is_none(), "the one place is in use");
+            pool.give(m, link);
+            assert_eq!(pool.take(m).map(|l| pool.give(m, l)).is_some(), kept);
+            assert!(pool.place().is_some(), "an idle link makes room");
+            assert!(pool.take(m).is_none());
+        }
+    };
+    tokio::task::LocalSet::new().run_until(play).await;
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -65,6 +65,16 @@
 
 /// Starts three members (the first is the primary), discovery and the program, and plays a test with them.
 fn play<A, R, T, F>(name: &str, act: A, test: T)
+where
+    A: Fn(usize, String) -> R + Clone + 'static,
+    R: Future<Output = Act> + 'static,
+    T: FnOnce(SocketAddr, Rc<Program>) -> F,
+    F: Future<Output = ()>,
+{
+    play_with(name, CONFIG, act, test);
+}
+
+fn play_with<A, R, T, F>(name: &str, config: &str, act: A, test: T)
 where
     A: Fn(usize, String) -> R + Clone + 'static,
     R: Future<Output = Act> + 'static,
@@ -73,7 +83,7 @@
 {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let all = async {
-        let mut config = CONFIG.to_string();
+        let mut config = config.to_string();
         for (i, named) in ["127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003"].iter().enumerate() {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let at = listener.local_addr().expect("an address");
@@ -250,6 +260,30 @@
     });
 }
 
+// Guards against running out of descriptors: past its part a client is refused, not left without an answer.
+#[test]
+fn past_the_budget_a_client_is_refused_at_the_edge() {
+    let act = |_, _| std::future::ready(Act::Row("served".into()));
+    let config = CONFIG.replace("\"sockets\": 1024", "\"sockets\": 96");
+    play_with("edge", &config, act, |at, _program| async move {
+        let mut served = Vec::new();
+        let mut last = String::new();
+        while last.is_empty() && served.len() < 96 {
+            let mut c = client(at, &[READ]).await;
+            let got = answer(&mut c).await;
+            last = if got.contains("served") { String::new() } else { got };
+            served.push(c);
+        }
+        assert!(served.len() > 30 && last.contains("C53300\0") && last.contains("\0D"), "{last:?}");
+        let mut refused = served.pop().expect("the last");
+        assert_eq!(answer(&mut refused).await, "", "the refused connection ends");
+        drop(served.pop());
+        let mut c = served.pop().expect("one that is served");
+        c.write_all(&encoded(&[query(READ)])).await.expect("written");
+        assert!(answer(&mut c).await.contains("served"), "those inside are served on");
+    });
+}
+
 #[test]
 fn what_breaks_the_protocol_is_told_so() {
     let act = |_, _| std::future::ready(Act::Row("served".into()));
