--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -51,7 +51,8 @@
 
 /// A file under the build's own folder for temporary files.
 fn file(name: &str, text: &str) -> std::path::PathBuf {
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    let path =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
     std::fs::write(&path, text).expect("a file");
     path
 }
