--- a/src/close_reason.rs
+++ b/src/close_reason.rs
@@ -67,6 +67,8 @@
     Reset = "reset",
     /// The member turned the connection away.
     TurnedAway = "turned-away",
+    /// Discovery has moved.
+    Moved = "moved",
     /// Discovery answered with an error.
     Status = "status",
     /// The watch fell silent.
--- a/src/config.rs
+++ b/src/config.rs
@@ -74,7 +74,7 @@
 impl std::error::Error for ConfigError {}
 
 /// The variables that stand above the file.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Variables {
     /// `LB_NAME`.
     pub name: Option<String>,
@@ -84,9 +84,18 @@
     pub discovery: Option<String>,
 }
 
+/// On what occasion the file is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// At the start: the variables stand above the file.
+    Start,
+    /// Once more: the file's `discovery` is news and stands above its variable.
+    Again,
+}
+
 impl Config {
     /// Reads the file that `LB_CONFIG` names, and the other variables.
-    pub fn from_environment() -> Result<Config, ConfigError> {
+    pub fn from_environment(reading: Reading) -> Result<Config, ConfigError> {
         let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
         let path = PathBuf::from(variable("LB_CONFIG").ok_or(ConfigError::NoFile)?);
         let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
@@ -95,11 +104,13 @@
             listen: variable("LB_LISTEN"),
             discovery: variable("LB_DISCOVERY"),
         };
-        Config::parse(&text, &path, variables)
+        Config::parse(&text, &path, variables, reading)
     }
 
     /// Checks the file's text.
-    pub fn parse(text: &str, path: &Path, variables: Variables) -> Result<Config, ConfigError> {
+    pub fn parse(
+        text: &str, path: &Path, variables: Variables, reading: Reading,
+    ) -> Result<Config, ConfigError> {
         let form = |e: FormError| ConfigError::Malformed(path.to_path_buf(), e);
         let doc: ConfigDoc = settings::parse(text).map_err(form)?;
         let address = |given: Option<String>, variable: &'static str, held: Option<String>, field: &str| {
@@ -110,7 +121,8 @@
             held.parse::<SocketAddr>().map_err(|_| form(FormError::Wrong(field.to_string())))
         };
         let listen = address(variables.listen, "LB_LISTEN", doc.listen, "listen")?;
-        let discovery = address(variables.discovery, "LB_DISCOVERY", doc.discovery, "discovery")?;
+        let told = variables.discovery.filter(|_| reading == Reading::Start || doc.discovery.is_none());
+        let discovery = address(told, "LB_DISCOVERY", doc.discovery, "discovery")?;
         let seed = need("seed", doc.seed).map_err(form)?;
         let seed = u64::from_str_radix(&seed, 16).map_err(|_| form(FormError::Wrong("seed".to_string())))?;
         let inside = |part: &'static str| {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
@@ -24,22 +24,43 @@
 /// A watch says something every 2 s, if only an empty line: silent for this long, it is dead.
 const SILENT_AFTER: Duration = Duration::from_secs(5);
 
-/// Watches whenever it is asked to, until the watch fails; then says so and waits to be asked again.
+/// Watches whenever it is asked to, until the watch fails; then says so and waits to be asked again. When
+/// discovery moves, a new watch begins there at once, from the version known.
 pub async fn run(
-    addr: SocketAddr, mut version: u64, asked: Rc<Notify>, inbox: mpsc::UnboundedSender<Input>,
-    counters: Rc<Counters>,
+    mut at: watch::Receiver<SocketAddr>, mut version: u64, asked: Rc<Notify>,
+    inbox: mpsc::UnboundedSender<Input>, counters: Rc<Counters>,
 ) {
     loop {
-        asked.notified().await;
-        counters.calls.add();
-        let reason = watch(addr, &mut version, &inbox).await;
-        log_close(Side::Discovery, addr, reason);
+        tokio::select! {
+            () = asked.notified() => {}
+            () = moved(&mut at) => {}
+        }
+        loop {
+            let addr = *at.borrow_and_update();
+            counters.calls.add();
+            let ended = tokio::select! {
+                reason = watch(addr, &mut version, &inbox) => Some(reason),
+                () = moved(&mut at) => None,
+            };
+            log_close(Side::Discovery, addr, ended.unwrap_or(CloseReason::Moved));
+            if ended.is_some() {
+                break;
+            }
+        }
         if inbox.send(Input::List(News::Failed)).is_err() {
             return;
         }
     }
 }
 
+/// Returns once a reload has told where discovery is, be it the same address.
+async fn moved(at: &mut watch::Receiver<SocketAddr>) {
+    // Without a sender nothing moves any more.
+    if at.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn watch(addr: SocketAddr, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>) -> CloseReason {
     let call = format!("GET /v1/endpoints?watch=1&from={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
     let connect = async {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,14 +1,16 @@
 //! Starts the proxy: configuration, signals, log. Everything else is in the library.
 #![forbid(unsafe_code)]
 
-use linenhill::config::Config;
+use linenhill::config::{Config, Reading};
 use linenhill::counters::Counters;
 use linenhill::proxy;
-use log::{error, info};
+use log::{error, info, warn};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
@@ -22,33 +24,53 @@
 }
 
 fn start() -> Result<(), String> {
-    let config = Config::from_environment().map_err(|e| e.to_string())?;
+    let config = Config::from_environment(Reading::Start).map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.map_err(|e| format!("the runtime does not start: {e}"))?.block_on(serve(config))
 }
 
 async fn serve(config: Config) -> Result<(), String> {
     let counters = Rc::new(Counters::default());
-    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::user_defined1()];
-    let [mut terminate, mut interrupt, mut print] = signals.map(signal);
-    let (Ok(terminate), Ok(interrupt), Ok(print)) = (&mut terminate, &mut interrupt, &mut print) else {
+    use SignalKind as Kind;
+    let signals = [Kind::terminate(), Kind::interrupt(), Kind::user_defined1(), Kind::hangup()];
+    let [Ok(mut terminate), Ok(mut interrupt), Ok(mut print), Ok(mut hangup)] = signals.map(signal) else {
         return Err("signals can't be received".into());
     };
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen on {listen}: {e}"))?;
     let listen = listener.local_addr().map_err(|e| format!("listen on {listen}: {e}"))?;
     info!("{} listens on {listen}", config.name);
-    let counted = counters.clone();
     let stop = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    let (tell, discovery) = watch::channel(config.discovery);
+    // These go on while a stop is under way: what was taken is still being sent to members.
+    let aside = async {
         loop {
             tokio::select! {
-                _ = terminate.recv() => return,
-                _ = interrupt.recv() => return,
-                _ = print.recv() => info!("counters {counted}"),
+                _ = print.recv() => info!("counters {counters}"),
+                _ = hangup.recv() => reload(&tell),
             }
         }
     };
-    let served = proxy::run(config, listener, counters.clone(), stop).await;
+    let served = tokio::select! {
+        served = proxy::run(config, listener, counters.clone(), discovery, stop) => served,
+        () = aside => Ok(()),
+    };
     info!("counters {counters}");
     served.map_err(|e| e.to_string())
 }
+
+/// Reads the file once more and moves to the discovery that it names; a wrong file changes nothing.
+fn reload(tell: &watch::Sender<SocketAddr>) {
+    match Config::from_environment(Reading::Again) {
+        Ok(config) => {
+            info!("reload: discovery is at {}", config.discovery);
+            tell.send_replace(config.discovery);
+        }
+        Err(problem) => warn!("reload: the old configuration is kept: {problem}"),
+    }
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -19,6 +19,7 @@
 use log::info;
 use std::fmt;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -49,15 +50,18 @@
 
 impl std::error::Error for DriverEnded {}
 
-/// Serves until `stop` is ready and all that was taken is answered.
+/// Serves until `stop` is ready and all that was taken is answered. `discovery` is where it is, and where it
+/// moves to.
 pub async fn run(
-    config: Config, listener: TcpListener, counters: Rc<Counters>, stop: impl Future<Output = ()>,
+    config: Config, listener: TcpListener, counters: Rc<Counters>, discovery: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
 ) -> Result<(), DriverEnded> {
-    LocalSet::new().run_until(serve(config, listener, counters, stop)).await
+    LocalSet::new().run_until(serve(config, listener, counters, discovery, stop)).await
 }
 
 async fn serve(
-    config: Config, listener: TcpListener, counters: Rc<Counters>, stop: impl Future<Output = ()>,
+    config: Config, listener: TcpListener, counters: Rc<Counters>, discovery: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
 ) -> Result<(), DriverEnded> {
     let Config { site, names, known, .. } = config;
     let share = |part: f64| (config.sockets.saturating_sub(OWN) as f64 * part) as usize;
@@ -81,7 +85,7 @@
     }
     let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe.clone());
     let driver = spawn_local(route.run());
-    spawn_local(discovery::run(config.discovery, version, subscribe, inbox, counters.clone()));
+    spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone()));
     spawn_local(pool.look_after());
     let room = Room { served: Admit::new(share(SERVED_PART)), refused: Admit::new(share(REFUSED_PART)) };
     let (tell, phase) = watch::channel(Phase::Serving);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -10,7 +10,7 @@
 use linenhill::clients::session::{self, Manner};
 use linenhill::clock::Clock;
 use linenhill::close_reason::CloseReason;
-use linenhill::config::{Config, Variables};
+use linenhill::config::{Config, Reading, Variables};
 use linenhill::counters::Counters;
 use linenhill::discovery::{self, list::News};
 use linenhill::members::link::Link;
@@ -75,8 +75,8 @@
 /// A session on one end of a stream, before a desk whose events are at hand.
 fn session() -> (DuplexStream, Events, impl Future<Output = CloseReason>, watch::Sender<Phase>) {
     let text = include_str!("../examples/config.json");
-    let config =
-        Config::parse(text, Path::new("config.json"), Variables::default()).expect("a configuration");
+    let config = Config::parse(text, Path::new("config.json"), Variables::default(), Reading::Start)
+        .expect("a configuration");
     let (inbox, events) = mpsc::unbounded_channel();
     let intake = Intake::new(&config.site, Clock::start());
     let desk = Desk::new(intake, Admit::new(9), Book::new(Rc::new(Counters::default())), inbox);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -24,24 +25,35 @@
     "/* id=a2,c=order,d=60000,k=b2,cluster=1 */ INSERT INTO state VALUES ('aa', 'x') RETURNING val";
 
 /// The program, killed when the test is over.
-struct Program(RefCell<Child>);
+struct Program {
+    child: RefCell<Child>,
+    config: std::path::PathBuf,
+    log: Arc<Mutex<String>>,
+}
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.0.get_mut().kill();
-        let _ = self.0.get_mut().wait();
+        let _ = self.child.get_mut().kill();
+        let _ = self.child.get_mut().wait();
     }
 }
 
 impl Program {
     fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([name, &self.0.borrow().id().to_string()]).status();
+        let sent = Command::new("kill").args([name, &self.child.borrow().id().to_string()]).status();
         assert!(sent.is_ok_and(|s| s.success()));
     }
 
+    /// Waits until the log holds these words.
+    async fn says(&self, words: &str) {
+        while !self.log.lock().expect("the log").contains(words) {
+            tokio::task::yield_now().await;
+        }
+    }
+
     async fn end(&self) -> ExitStatus {
         loop {
-            if let Some(status) = self.0.borrow_mut().try_wait().expect("a child") {
+            if let Some(status) = self.child.borrow_mut().try_wait().expect("a child") {
                 return status;
             }
             tokio::task::yield_now().await;
@@ -100,16 +112,22 @@
         // A slow machine must not turn a connection into a failed one, or an answer into a late one.
         let config = config.replace("\"slo\": 800000", "\"slo\": 30000000");
         let config = config.replace("\"connectTimeout\": 250000", "\"connectTimeout\": 5000000");
-        let mut child = program(&file(&format!("{name}.json"), &config)).spawn().expect("the program");
+        let path = file(&format!("{name}.json"), &config);
+        let mut child = program(&path).spawn().expect("the program");
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
-        let program = Rc::new(Program(RefCell::new(child)));
+        let said = Arc::new(Mutex::new(String::new()));
+        let program = Rc::new(Program { child: RefCell::new(child), config: path, log: said.clone() });
         let mut line = String::new();
         while !line.contains("listens on ") {
             line.clear();
             assert!(log.read_line(&mut line).is_ok_and(|n| n > 0), "the program has ended");
         }
         let at = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                said.lock().expect("the log").push_str(&(line + "\n"));
+            }
+        });
         test(at, program.clone()).await;
     };
     runtime.block_on(tokio::task::LocalSet::new().run_until(all));
@@ -261,6 +279,39 @@
     });
 }
 
+// Guards against a reload that ends the program, loses a connection, or leaves discovery where it was.
+#[test]
+fn a_reload_moves_discovery_and_keeps_the_rest() {
+    let act = |_, _| std::future::ready(Act::Row("served".into()));
+    play("reload", act, |at, program| async move {
+        let mut before = client(at, &[READ]).await;
+        assert!(answer(&mut before).await.contains("served"));
+        program.says("list version 2").await;
+        let text = std::fs::read_to_string(&program.config).expect("the file");
+        std::fs::write(&program.config, text.replace("\"discovery\":", "\"discovery\": 5, \"x\":"))
+            .expect("a file");
+        program.signal("-HUP");
+        program.says("the old configuration is kept: ").await;
+        let old = text.split("\"discovery\": \"").nth(1).and_then(|t| t.split('"').next()).expect("it");
+        for _ in 0..2 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let new = listener.local_addr().expect("an address").to_string();
+            std::fs::write(&program.config, text.replace(old, &new)).expect("a file");
+            program.signal("-HUP");
+            let (mut call, _) = listener.accept().await.expect("a call");
+            let mut head = [0; 64];
+            let got = call.read(&mut head).await.expect("read");
+            assert!(head[..got].starts_with(b"GET /v1/endpoints?watch=1&from=2 "), "{head:?}");
+        }
+        program.says("code=moved").await;
+        before.write_all(&encoded(&[query(READ)])).await.expect("written");
+        assert!(answer(&mut before).await.contains("served"), "clients and members stay");
+        program.signal("-HUP");
+        program.signal("-TERM");
+        assert!(program.end().await.success());
+    });
+}
+
 // Guards against running out of descriptors: past its part a client is refused, not left without an answer.
 #[test]
 fn past_the_budget_a_client_is_refused_at_the_edge() {
