--- a/src/clients/listener.rs
+++ b/src/clients/listener.rs
@@ -1,10 +1,11 @@
 //! Accepts clients, within the budget of descriptors.
 
 use super::desk::Desk;
+use super::roster::{Roster, Seated};
 use super::session::{self, Manner};
-use crate::close_reason::{Side, log_close};
+use crate::close_reason::{CloseReason, Side, log_close};
 use crate::counters::Counters;
-use crate::stages::admit::Admit;
+use crate::stages::admit::{Admit, Place};
 use log::warn;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,10 +27,35 @@
 
 /// Places for clients: served, and beyond those only refused.
 pub struct Room {
-    /// Served.
-    pub served: Admit,
-    /// Refused at the edge.
-    pub refused: Admit,
+    served: Admit,
+    seats: Rc<Roster>,
+    refused: Admit,
+    stands: Rc<Roster>,
+}
+
+impl Room {
+    /// So many places, and so many to be refused at.
+    pub fn new(served: usize, refused: usize) -> Room {
+        let (seats, stands) = (Roster::new(served), Roster::new(refused));
+        Room { served: Admit::new(served), seats, refused: Admit::new(refused), stands }
+    }
+
+    /// A place for a newcomer, made if need be by ending connections without an open request.
+    async fn enter(&self) -> Option<(Place, Seated, Manner)> {
+        if let Some(place) = enter(&self.served, &self.seats).await {
+            return Some((place, self.seats.sit(), Manner::Serve));
+        }
+        let place = enter(&self.refused, &self.stands).await?;
+        Some((place, self.stands.sit(), Manner::Refuse))
+    }
+}
+
+async fn enter(places: &Admit, roster: &Roster) -> Option<Place> {
+    if roster.make_room(places.is_full()) {
+        // Whoever was told to leave gives its place back when its task runs.
+        tokio::task::yield_now().await;
+    }
+    places.enter()
 }
 
 /// Accepts and serves until the phase says to close, then waits for the sessions to end.
@@ -54,20 +80,16 @@
                 continue;
             }
         };
-        let (place, manner) = match (room.served.enter(), room.refused.enter()) {
-            (Some(place), _) => (place, Manner::Serve),
-            (None, Some(place)) => (place, Manner::Refuse),
+        let Some((place, seated, manner)) = room.enter().await else {
             // Not even a refusal has a place left: only an end of the connection says so.
-            (None, None) => {
-                log_close(Side::Client, peer, crate::close_reason::CloseReason::EdgeFull);
-                continue;
-            }
+            log_close(Side::Client, peer, CloseReason::EdgeFull);
+            continue;
         };
         counters.clients.add();
         let _ = stream.set_nodelay(true);
         let (desk, phase) = (desk.clone(), phase.clone());
         sessions.spawn_local(async move {
-            let reason = session::run(stream, desk, manner, phase).await;
+            let reason = session::run(stream, desk, seated, manner, phase).await;
             log_close(Side::Client, peer, reason);
             drop(place);
         });
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod desk;
 pub mod listener;
+pub mod roster;
 pub mod session;
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -2,6 +2,7 @@
 
 use super::desk::Desk;
 use super::listener::Phase;
+use super::roster::Seated;
 use crate::close_reason::CloseReason;
 use crate::pg::PgError;
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
@@ -18,7 +19,7 @@
 use tokio_util::codec::Framed;
 
 /// A client that has not sent its startup message by then is let go.
-const STARTUP_WITHIN: Duration = Duration::from_secs(10);
+const STARTUP_WITHIN: Duration = Duration::from_millis(2_500);
 /// A client that doesn't read its answer for so long is let go.
 const WRITE_WITHIN: Duration = Duration::from_secs(10);
 /// After a fatal error, what the client still sends is read away so long, so that the error reaches it.
@@ -40,6 +41,7 @@
 struct Session<S> {
     framed: Framed<S, FrontendCodec>,
     desk: Rc<Desk>,
+    seated: Seated,
     /// What came while an earlier query was being answered, and when.
     waiting: VecDeque<(Frontend, Instant)>,
     /// The input is broken: what was taken is answered, then the connection ends.
@@ -50,10 +52,10 @@
 
 /// Serves a connection to its end, and says why it ended.
 pub async fn run<S: AsyncRead + AsyncWrite + Unpin>(
-    stream: S, desk: Rc<Desk>, manner: Manner, mut phase: watch::Receiver<Phase>,
+    stream: S, desk: Rc<Desk>, seated: Seated, manner: Manner, mut phase: watch::Receiver<Phase>,
 ) -> CloseReason {
     let framed = Framed::new(stream, FrontendCodec::default());
-    let mut s = Session { framed, desk, waiting: VecDeque::new(), broken: None, skipping: false };
+    let mut s = Session { framed, desk, seated, waiting: VecDeque::new(), broken: None, skipping: false };
     let reason = match s.serve(manner, &mut phase).await {
         Ok(()) => CloseReason::Terminated,
         Err(reason) => reason,
@@ -148,7 +150,10 @@
                 None => return Err(CloseReason::PeerClosed),
                 Some(Frontend::Encryption) => self.reply([Wire::NoEncryption]).await?,
                 Some(Frontend::Cancel) => return Err(CloseReason::CancelRequest),
-                Some(_) => return self.reply([Wire::Welcome, Wire::Ready]).await,
+                Some(_) => {
+                    self.seated.idle();
+                    return self.reply([Wire::Welcome, Wire::Ready]).await;
+                }
             }
         }
     }
@@ -166,6 +171,7 @@
                 Some(Err(problem)) => Err(self.violation(problem).await),
             },
             _ = phase.wait_for(|p| *p >= Phase::Closing) => Err(CloseReason::Stopping),
+            () = self.seated.told_to_leave() => Err(CloseReason::MadeRoom),
         }
     }
 
@@ -182,6 +188,13 @@
     async fn query(&mut self, mut incoming: Incoming, came: Instant) -> Result<(), CloseReason> {
         // It has waited behind the ones before it.
         incoming.wait_ms = incoming.wait_ms.saturating_sub(came.elapsed().as_millis() as u64);
+        self.seated.busy();
+        let answered = self.answer(incoming).await;
+        self.seated.idle();
+        answered
+    }
+
+    async fn answer(&mut self, incoming: Incoming) -> Result<(), CloseReason> {
         let mut pending = match self.desk.hand_in(incoming) {
             Ok(Ok(pending)) => pending,
             Ok(Err(answer)) => return self.reply([wire(answer, false), Wire::Ready]).await,
--- a/src/close_reason.rs
+++ b/src/close_reason.rs
@@ -43,6 +43,8 @@
     StartupTimeout = "startup-timeout",
     /// A cancel request: there is nothing to cancel that way.
     CancelRequest = "cancel-request",
+    /// It held no open request, and a newcomer needed its place.
+    MadeRoom = "made-room",
     /// All places for clients are taken.
     EdgeFull = "edge-full",
     /// The connection failed.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -87,7 +87,7 @@
     let driver = spawn_local(route.run());
     spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone()));
     spawn_local(pool.look_after());
-    let room = Room { served: Admit::new(share(SERVED_PART)), refused: Admit::new(share(REFUSED_PART)) };
+    let room = Room::new(share(SERVED_PART), share(REFUSED_PART));
     let (tell, phase) = watch::channel(Phase::Serving);
     let serving = spawn_local(listener::run(listener, desk.clone(), room, phase, counters));
     tokio::select! {
--- a/src/stages/admit.rs
+++ b/src/stages/admit.rs
@@ -24,9 +24,14 @@
         Admit { open: Rc::default(), most }
     }
 
+    /// Whether all places are taken.
+    pub fn is_full(&self) -> bool {
+        self.open.get() >= self.most
+    }
+
     /// A place, or none when all are taken.
     pub fn enter(&self) -> Option<Place> {
-        if self.open.get() >= self.most {
+        if self.is_full() {
             return None;
         }
         self.open.set(self.open.get() + 1);
