Take spoilt answers for failed attempts at once: none is passed on any more

Examined: the codec took any count of columns, columns shorter than their row, no value at all, any description and completion; it waited for the length that noise happens to spell before it looked at the kind; a probe with a spoilt answer made its member dead (on_probed), a spoilt attempt counted as unanswered (lost) and a quick error as a full queue.

Now each kind has its own bounds, checked before anything is waited for; a row is one column that fills it; an answer is description, row, completion, ready, or an error and ready. What else comes is Garbled: it may have run, says nothing against the member, and the connection ends at once, also when an answer has begun and says nothing more for 250 ms. What comes behind a good answer ends reuse; connections rest 2 ms before reuse. A report is believed whole or not at all, and no position from the future.

--- a/src/api.rs
+++ b/src/api.rs
@@ -291,6 +291,8 @@
     Ignored,
     /// Turned away untouched: not the primary, or too far behind.
     Miss,
+    /// Answered with what can't be read; it may have run, and nothing is known against the member.
+    Garbled,
 }
 
 /// A member's word about itself.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -263,7 +263,7 @@
     fn learn(&mut self, id: MemberId, position: Option<Us>, role: Option<Role>, as_of: (Us, Us)) {
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return };
-        if let Some(p) = position {
+        if let Some(p) = position.filter(|p| *p < now + ALIVE) {
             m.position = m.position.max(p);
             m.reported = now;
         }
@@ -299,7 +299,7 @@
                 self.learn(id, position, report.role, (as_of, now.saturating_sub(REPORT_AGE)));
                 self.tell(id, out);
             }
-            Outcome::QueueFull | Outcome::Ignored | Outcome::Cancelled => {}
+            Outcome::QueueFull | Outcome::Ignored | Outcome::Cancelled | Outcome::Garbled => {}
             _ => self.fall_ill(id, true),
         }
         self.pump(group, out);
@@ -539,8 +539,7 @@
         self.place(id, out);
     }
 
-    /// Sends a held request on if it can go now; otherwise it stays held, or is given up when it can no
-    /// longer succeed.
+    /// Sends a held request on if it can go now; else it stays held, or is given up if it can't succeed.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let group = r.group;
@@ -673,7 +672,8 @@
         let Some((sent, class, session)) = m.open.remove(&(id, attempt)) else { return };
         let Some(group) = m.group else { return };
         let write = self.set.classes[class].read == ReadLevel::Write;
-        let answered = matches!(outcome, Outcome::Ok | Outcome::Failed | Outcome::QueueFull | Outcome::Miss);
+        use Outcome::{Cancelled, Failed, Garbled, Miss, QueueFull};
+        let answered = matches!(outcome, Outcome::Ok | Failed | QueueFull | Miss | Garbled);
         if answered {
             self.hear(member, true);
             if let Some(m) = self.members.get_mut(&member) {
@@ -731,7 +731,7 @@
             }
             _ => {}
         }
-        let may_have_run = unanswered || matches!(outcome, Outcome::Failed | Outcome::Cancelled);
+        let may_have_run = unanswered || matches!(outcome, Failed | Cancelled | Garbled);
         let Some(r) = self.requests.get_mut(&id) else { return self.pump(group, out) };
         r.open.retain(|a| a.number != attempt);
         if outcome != Outcome::Ok {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -66,6 +66,8 @@
     not_connected,
     /// Attempts whose connection broke.
     reset,
+    /// Attempts whose answer could not be read.
+    garbled,
     /// Attempts that were not answered in time.
     timed_out,
     /// Attempts called off.
--- a/src/members/link.rs
+++ b/src/members/link.rs
@@ -3,6 +3,7 @@
 use crate::api::{LoadReport, Outcome, Role, Time};
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::members::report;
+use crate::pg::PgError;
 use crate::pg::backend::{Backend, BackendCodec, Command};
 use crate::stages::admit::Place;
 use bytes::{Bytes, BytesMut};
@@ -12,11 +13,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
-/// The largest answer relayed: a row of 64 KiB, and its description.
-const ANSWER_MOST: usize = 96 * 1024;
+/// An answer that has begun says more within this long, or its rest will never come.
+const ANSWER_GAP: Duration = Duration::from_millis(250);
 /// A buffer that grew past this is given back after the answer.
 const BUFFER_KEPT: usize = 32 * 1024;
 
@@ -40,7 +41,7 @@
     pub outcome: Outcome,
     /// Description, row and completion, as they came.
     pub raw: Bytes,
-    /// The row's first column.
+    /// The row's column.
     pub column: Option<Bytes>,
     /// The member's position, or a write's commit.
     pub position: Option<Time>,
@@ -52,6 +53,32 @@
     pub reusable: bool,
 }
 
+/// How far an answer has come.
+#[derive(Clone, Copy)]
+enum Stage {
+    Begin,
+    Described,
+    Rowed,
+    Over(Outcome),
+}
+
+impl Reply {
+    /// Notes what a parameter tells; one that can't be read tells nothing.
+    fn note(&mut self, name: &[u8], value: &[u8]) {
+        let text = std::str::from_utf8(value).unwrap_or("");
+        match name {
+            b"lsn_ms" => {
+                let ms = text.parse::<u64>().ok().filter(|ms| *ms > 0);
+                self.position = ms.map(|ms| Time(ms.saturating_mul(1_000)));
+            }
+            b"recovery" if text == "off" => self.role = Some(Role::Primary),
+            b"recovery" if text == "on" => self.role = Some(Role::Replica),
+            b"health" => self.report = report::parse(text),
+            _ => {}
+        }
+    }
+}
+
 /// The outcome that an error's SQLSTATE stands for.
 fn outcome(code: &[u8]) -> Outcome {
     match code {
@@ -117,12 +144,16 @@
         self.reason.clone()
     }
 
-    /// Whether it is still open and silent, as an idle connection must be.
-    pub fn is_quiet(&self) -> bool {
+    /// Why it can't carry a statement, if so: an idle connection is open and silent.
+    pub fn unfit(&self) -> Option<CloseReason> {
         let mut byte = [0u8; 1];
-        let waits = matches!(self.framed.get_ref().try_read(&mut byte),
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
-        waits && self.framed.read_buffer().is_empty()
+        match self.framed.get_ref().try_read(&mut byte) {
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                (!self.framed.read_buffer().is_empty()).then_some(CloseReason::Protocol)
+            }
+            Ok(0) | Err(_) => Some(CloseReason::PeerClosed),
+            Ok(_) => Some(CloseReason::Protocol),
+        }
     }
 
     /// Writes a statement whole; it has not run if this fails.
@@ -134,7 +165,22 @@
         })
     }
 
-    /// Reads the answer to the statement written.
+    /// The next message of an answer. It may take any time to begin, but not to go on once it has begun.
+    async fn next(&mut self, begun: bool) -> Option<Result<Backend, PgError>> {
+        let mut there = self.framed.read_buffer().len();
+        loop {
+            if let Ok(next) = timeout(ANSWER_GAP, self.framed.next()).await {
+                return next;
+            }
+            let had = std::mem::replace(&mut there, self.framed.read_buffer().len());
+            if (begun || had > 0) && there == had {
+                return Some(Err(PgError::Body("an answer without its end")));
+            }
+        }
+    }
+
+    /// Reads the answer to the statement written: a description, a row and a completion, or an error, and
+    /// then ready. Anything else is garbled: it may have run, and the connection is of no further use.
     pub async fn read(&mut self) -> Reply {
         let mut raw = BytesMut::new();
         let mut reply = Reply {
@@ -146,50 +192,46 @@
             report: LoadReport::default(),
             reusable: false,
         };
-        let (mut row, mut complete) = (false, false);
-        loop {
-            match self.framed.next().await {
-                Some(Ok(Backend::Description(part))) if raw.is_empty() => raw.extend_from_slice(&part),
-                Some(Ok(Backend::Row { raw: part, value })) if !row && part.len() <= ANSWER_MOST => {
-                    row = true;
-                    reply.column = value;
+        let mut stage = Stage::Begin;
+        let broken = loop {
+            let begun = !matches!(stage, Stage::Begin);
+            match (stage, self.next(begun).await) {
+                (Stage::Begin, Some(Ok(Backend::Description(part)))) => {
+                    stage = Stage::Described;
                     raw.extend_from_slice(&part);
                 }
-                Some(Ok(Backend::Complete(part))) if !complete => {
-                    complete = true;
+                (Stage::Described, Some(Ok(Backend::Row { raw: part, value }))) => {
+                    stage = Stage::Rowed;
+                    reply.column = Some(value);
                     raw.extend_from_slice(&part);
-                    // Without a row there is nothing to pass on.
-                    reply.outcome = if row { Outcome::Ok } else { Outcome::Failed };
                 }
-                Some(Ok(Backend::Error(code))) => reply.outcome = outcome(&code),
-                Some(Ok(Backend::Parameter { name, value })) => {
-                    let text = std::str::from_utf8(&value).unwrap_or("");
-                    match &name[..] {
-                        b"lsn_ms" => {
-                            let ms = text.parse::<u64>().ok().filter(|ms| *ms > 0);
-                            reply.position = ms.map(|ms| Time(ms.saturating_mul(1_000)));
-                        }
-                        b"recovery" if text == "off" => reply.role = Some(Role::Primary),
-                        b"recovery" if text == "on" => reply.role = Some(Role::Replica),
-                        b"health" => reply.report = report::parse(text),
-                        _ => {}
-                    }
-                }
-                Some(Ok(Backend::Ready)) => {
-                    reply.reusable = reply.outcome != Outcome::Reset;
-                    break;
-                }
-                Some(Ok(Backend::Welcome | Backend::Other)) => {}
-                Some(Ok(Backend::Description(_) | Backend::Row { .. } | Backend::Complete(_))) => {
-                    self.reason.set(CloseReason::Protocol);
-                    reply.outcome = Outcome::Failed;
-                    break;
+                (Stage::Rowed, Some(Ok(Backend::Complete(part)))) => {
+                    stage = Stage::Over(Outcome::Ok);
+                    raw.extend_from_slice(&part);
                 }
-                Some(Err(_)) | None => {
-                    self.reason.set(CloseReason::Reset);
-                    break;
+                // A command that returns nothing has run, but leaves nothing to pass on.
+                (Stage::Begin, Some(Ok(Backend::Complete(_)))) => stage = Stage::Over(Outcome::Failed),
+                (Stage::Begin, Some(Ok(Backend::Error(code)))) => stage = Stage::Over(outcome(&code)),
+                (Stage::Over(outcome), Some(Ok(Backend::Ready))) => {
+                    reply.outcome = outcome;
+                    break None;
                 }
+                (_, Some(Ok(Backend::Parameter { name, value }))) => reply.note(&name, &value),
+                (_, Some(Ok(Backend::Other))) => {}
+                (_, None | Some(Err(PgError::Io(_)))) => break Some((Outcome::Reset, CloseReason::Reset)),
+                _ => break Some((Outcome::Garbled, CloseReason::Protocol)),
+            }
+        };
+        match broken {
+            Some((outcome, reason)) => {
+                self.reason.set(reason);
+                reply.outcome = outcome;
             }
+            // More than the answer is served, but what comes next on this connection is not to be trusted.
+            None => match self.unfit() {
+                Some(reason) => self.reason.set(reason),
+                None => reply.reusable = true,
+            },
         }
         if reply.outcome == Outcome::Ok {
             reply.raw = raw.freeze();
--- a/src/members/pool.rs
+++ b/src/members/pool.rs
@@ -15,6 +15,8 @@
 
 /// Idle connections are retired at this part of the time after which members close them.
 const RETIRE_PART: f64 = 0.6;
+/// A connection rests this long after an answer: what a member sends too much would be taken for the next one.
+const REST: Duration = Duration::from_millis(2);
 /// How often idle connections are looked after.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
@@ -64,14 +66,19 @@
         self.0.connect
     }
 
-    /// The idle connection that was used last, if one is still good.
+    /// The idle connection that was used last, if one is still good and has rested.
     pub fn take(&self, member: MemberId) -> Option<Link> {
         loop {
-            let (link, since) = self.0.slots.borrow_mut().get_mut(&member)?.idle.pop()?;
+            let (link, since) = {
+                let mut slots = self.0.slots.borrow_mut();
+                let idle = &mut slots.get_mut(&member)?.idle;
+                let rested = idle.iter().rposition(|(_, since)| since.elapsed() >= REST)?;
+                idle.remove(rested)
+            };
             if since.elapsed() >= self.0.retire {
                 link.reason().set(CloseReason::Retired);
-            } else if !link.is_quiet() {
-                link.reason().set(CloseReason::PeerClosed);
+            } else if let Some(reason) = link.unfit() {
+                link.reason().set(reason);
             } else {
                 link.reason().set(CloseReason::Cancelled);
                 return Some(link);
@@ -114,20 +121,21 @@
         end(idle.into_iter().flatten(), CloseReason::GivenBack);
     }
 
-    /// Ends what is too old or was closed by its member.
+    /// Ends what is too old or unfit.
     pub fn sweep(&self) {
-        let (mut old, mut closed) = (Vec::new(), Vec::new());
+        let mut ended = Vec::new();
         for slot in self.0.slots.borrow_mut().values_mut() {
             for (link, since) in std::mem::take(&mut slot.idle) {
-                match (since.elapsed() >= self.0.retire, link.is_quiet()) {
-                    (true, _) => old.push((link, since)),
-                    (false, false) => closed.push((link, since)),
-                    (false, true) => slot.idle.push((link, since)),
+                let old = (since.elapsed() >= self.0.retire).then_some(CloseReason::Retired);
+                match old.or_else(|| link.unfit()) {
+                    Some(reason) => {
+                        link.reason().set(reason);
+                        ended.push(link);
+                    }
+                    None => slot.idle.push((link, since)),
                 }
             }
         }
-        end(old, CloseReason::Retired);
-        end(closed, CloseReason::PeerClosed);
     }
 
     /// Sweeps for as long as the program runs.
--- a/src/pg/backend.rs
+++ b/src/pg/backend.rs
@@ -1,7 +1,7 @@
 //! The member-facing side: what members answer, decoded, and what they are sent, encoded.
 
 use super::frontend::{message, put_text};
-use super::{PgError, frame, text};
+use super::{PgError, VALUE_MOST, frame, text};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -17,14 +17,14 @@
         /// Its value.
         value: Bytes,
     },
-    /// Part of an answer that is passed on: RowDescription, whole.
+    /// RowDescription of one column, whole.
     Description(Bytes),
-    /// A DataRow, whole; `value` is its one column, if it has one.
+    /// A DataRow of one column, whole.
     Row {
         /// The whole message.
         raw: Bytes,
-        /// The first column.
-        value: Option<Bytes>,
+        /// The column.
+        value: Bytes,
     },
     /// CommandComplete, whole.
     Complete(Bytes),
@@ -51,33 +51,73 @@
 #[derive(Default)]
 pub struct BackendCodec;
 
-fn column(mut body: Bytes) -> Result<Option<Bytes>, PgError> {
-    if body.len() < 2 {
-        return Err(PgError::Body("a row without a count of columns"));
+/// A short text and what stands round it: notices, parameters, errors.
+const TEXT_MOST: usize = 8 * 1024;
+/// RowDescription after a column's name: table, place, type, size, modifier, format.
+const COLUMN_REST: usize = 18;
+
+/// The least and most length of what members send.
+fn bounds(kind: u8) -> Option<(usize, usize)> {
+    match kind {
+        b'D' => Some((10, 10 + VALUE_MOST)),
+        b'Z' => Some((5, 5)),
+        b'I' => Some((4, 4)),
+        b'R' | b'S' | b'T' | b'C' | b'E' | b'N' | b'K' | b'A' | b'v' => Some((4, TEXT_MOST)),
+        _ => None,
+    }
+}
+
+/// The one column of a row, which fills it.
+fn column(mut body: Bytes) -> Result<Bytes, PgError> {
+    if body.len() < 6 || body.get_u16() != 1 {
+        return Err(PgError::Body("a row of other than one column"));
     }
-    if body.get_u16() == 0 {
-        return Ok(None);
+    // No value at all is a length of -1, which fills nothing either.
+    if body.get_u32() as usize != body.len() {
+        return Err(PgError::Body("a column that does not fill its row"));
     }
-    if body.len() < 4 {
-        return Err(PgError::Body("a column without a length"));
+    Ok(body)
+}
+
+/// Checks that a RowDescription is of one column, and no more.
+fn described(mut body: Bytes) -> Result<(), PgError> {
+    let one = body.len() >= 2 && body.get_u16() == 1;
+    if !one || text(&mut body)?.is_empty() || body.len() != COLUMN_REST {
+        return Err(PgError::Body("a description of other than one column"));
     }
-    let length = body.get_i32();
-    match usize::try_from(length) {
-        Err(_) => Ok(None),
-        Ok(n) if n <= body.len() => Ok(Some(body.split_to(n))),
-        Ok(_) => Err(PgError::Body("a column longer than its row")),
+    Ok(())
+}
+
+/// Checks that a CommandComplete is one printable text.
+fn completed(mut body: Bytes) -> Result<(), PgError> {
+    let tag = text(&mut body)?;
+    let printable = tag.iter().all(|b| b.is_ascii_graphic() || *b == b' ');
+    if tag.is_empty() || !printable || !body.is_empty() {
+        return Err(PgError::Body("a completion that is no text"));
     }
+    Ok(())
 }
 
+/// The code among an error's fields, which end where the message ends.
 fn sqlstate(mut body: Bytes) -> Result<Bytes, PgError> {
+    let mut code = None;
     while body.first().is_some_and(|kind| *kind != 0) {
         let kind = body.get_u8();
         let value = text(&mut body)?;
         if kind == b'C' {
-            return Ok(value);
+            code = Some(value);
         }
     }
-    Err(PgError::Body("an error without a code"))
+    let code = code.filter(|c| c.len() == 5 && c.iter().all(u8::is_ascii_alphanumeric));
+    code.filter(|_| body.len() == 1).ok_or(PgError::Body("an error without a code"))
+}
+
+/// A parameter that can't be read is passed over: it costs only what it would have told.
+fn parameter(mut body: Bytes) -> Backend {
+    match (text(&mut body), text(&mut body)) {
+        (Ok(name), Ok(value)) if body.is_empty() => Backend::Parameter { name, value },
+        _ => Backend::Other,
+    }
 }
 
 impl Decoder for BackendCodec {
@@ -85,19 +125,20 @@
     type Error = PgError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Backend>, PgError> {
-        let Some((kind, raw)) = frame(src)? else { return Ok(None) };
-        let mut body = raw.slice(5..);
+        let Some((kind, raw)) = frame(src, bounds)? else { return Ok(None) };
+        let body = raw.slice(5..);
         Ok(Some(match kind {
             b'R' => match body.get(..4) {
                 Some([0, 0, 0, 0]) => Backend::Welcome,
                 _ => return Err(PgError::Body("a password is asked for")),
             },
-            b'S' => Backend::Parameter { name: text(&mut body)?, value: text(&mut body)? },
-            b'T' => Backend::Description(raw),
+            b'S' => parameter(body),
+            b'T' => described(body).map(|()| Backend::Description(raw))?,
             b'D' => Backend::Row { value: column(body)?, raw },
-            b'C' => Backend::Complete(raw),
+            b'C' => completed(body).map(|()| Backend::Complete(raw))?,
             b'E' => Backend::Error(sqlstate(body)?),
-            b'Z' => Backend::Ready,
+            b'Z' if body[..] == *b"I" => Backend::Ready,
+            b'Z' => return Err(PgError::Body("ready amid a transaction")),
             b'N' | b'K' | b'I' | b'A' | b'v' => Backend::Other,
             _ => return Err(PgError::Kind(kind)),
         }))
--- a/src/pg/frontend.rs
+++ b/src/pg/frontend.rs
@@ -1,6 +1,6 @@
 //! The client-facing side: what clients send, decoded, and what they are answered, encoded.
 
-use super::{PgError, frame, text};
+use super::{MESSAGE_MOST, PgError, frame, text};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -63,6 +63,15 @@
     started: bool,
 }
 
+/// The least and most length of what clients send.
+fn bounds(kind: u8) -> Option<(usize, usize)> {
+    match kind {
+        b'Q' | b'P' | b'B' | b'D' | b'E' | b'C' | b'F' | b'd' | b'f' => Some((4, MESSAGE_MOST)),
+        b'X' | b'S' | b'H' | b'c' => Some((4, 4)),
+        _ => None,
+    }
+}
+
 impl Decoder for FrontendCodec {
     type Item = Frontend;
     type Error = PgError;
@@ -71,7 +80,7 @@
         if !self.started {
             return self.startup(src);
         }
-        let Some((kind, mut body)) = frame(src)? else { return Ok(None) };
+        let Some((kind, mut body)) = frame(src, bounds)? else { return Ok(None) };
         body.advance(5);
         Ok(Some(match kind {
             b'Q' => {
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -8,7 +8,9 @@
 use std::fmt;
 use std::io;
 
-/// The largest message taken: a 64 KiB value written in hexadecimal, and room for the statement round it.
+/// The largest value, in bytes.
+pub const VALUE_MOST: usize = 64 * 1024;
+/// The largest message taken from a client: a value written in hexadecimal, and room for the statement round it.
 pub const MESSAGE_MOST: usize = 192 * 1024;
 
 /// What is wrong with the bytes that a peer sent.
@@ -43,13 +45,18 @@
 
 impl std::error::Error for PgError {}
 
-/// Takes one whole typed message off the front, header included; `None` until it is all there.
-pub(crate) fn frame(src: &mut BytesMut) -> Result<Option<(u8, Bytes)>, PgError> {
+/// Takes one whole typed message off the front, header included; `None` until it is all there. `bounds` tells
+/// the least and most length of a kind, or none for a kind that does not exist: what can't be a message is an
+/// error at once, and nothing is set aside or waited for on its word.
+pub(crate) fn frame(
+    src: &mut BytesMut, bounds: impl Fn(u8) -> Option<(usize, usize)>,
+) -> Result<Option<(u8, Bytes)>, PgError> {
     let Some((&kind, rest)) = src.split_first() else { return Ok(None) };
+    let (least, most) = bounds(kind).ok_or(PgError::Kind(kind))?;
     let Some(length) = rest.first_chunk::<4>().map(|b| u32::from_be_bytes(*b) as usize) else {
         return Ok(None);
     };
-    if !(4..=MESSAGE_MOST).contains(&length) {
+    if !(least..=most).contains(&length) {
         return Err(PgError::Length(length));
     }
     Ok((src.len() > length).then(|| (kind, src.split_to(1 + length).freeze())))
--- a/src/stages/book.rs
+++ b/src/stages/book.rs
@@ -58,6 +58,7 @@
             Outcome::Failed => c.error.add(),
             Outcome::QueueFull => c.turned_away.add(),
             Outcome::ConnectError => c.not_connected.add(),
+            Outcome::Garbled => c.garbled.add(),
             Outcome::Reset => c.reset.add(),
             Outcome::TimedOut => c.timed_out.add(),
             Outcome::Cancelled => c.cancelled.add(),
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -81,7 +81,7 @@
     [
         typed(b'R', &[0; 4]),
         typed(b'Z', b"I"),
-        typed(b'T', b"\0\x01val\0"),
+        typed(b'T', &[b"\0\x01val\0".as_slice(), &[0; 18]].concat()),
         typed(b'D', &row),
         typed(b'C', b"SELECT 1\0"),
         typed(b'S', b"lsn_ms\x001767225600123\0"),
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -5,7 +5,7 @@
 mod peer;
 
 use futures_util::FutureExt;
-use linenhill::api::MemberId;
+use linenhill::api::{MemberId, Outcome, Time};
 use linenhill::clients::desk::Desk;
 use linenhill::clients::listener::Phase;
 use linenhill::clients::roster::{Roster, Seated};
@@ -183,11 +183,90 @@
             let place = pool.place().expect("a place");
             let Ok(link) = Link::open(at, place, long).await else { panic!("no link") };
             assert!(pool.place().is_none(), "the one place is in use");
+            tokio::time::pause();
             pool.give(m, link);
+            assert!(pool.take(m).is_none(), "more than the answer may still be on the way");
+            tokio::time::advance(Duration::from_millis(3)).await;
             assert_eq!(pool.take(m).map(|l| pool.give(m, l)).is_some(), kept);
             assert!(pool.place().is_some(), "an idle link makes room");
             assert!(pool.take(m).is_none());
+            tokio::time::resume();
         }
     };
     tokio::task::LocalSet::new().run_until(play).await;
 }
+
+fn typed(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind], &(4 + body.len() as u32).to_be_bytes()[..], body].concat()
+}
+
+/// What a link makes of these bytes, sent in answer to a statement on a connection that stays open.
+async fn reply_to(bytes: Vec<u8>) -> (Outcome, Option<Time>, bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let member = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut got = [0; 256];
+        assert!(stream.read(&mut got).await.expect("a startup message") > 0);
+        stream.write_all(&[typed(b'R', &[0; 4]), typed(b'Z', b"I")].concat()).await.expect("written");
+        assert!(stream.read(&mut got).await.expect("a statement") > 0);
+        stream.write_all(&bytes).await.expect("written");
+        while stream.read(&mut got).await.is_ok_and(|n| n > 0) {}
+    };
+    let proxy = async {
+        let long = Duration::from_secs(60);
+        let place = Admit::new(1).enter().expect("a place");
+        let Ok(mut link) = Link::open(at, place, long).await else { panic!("no link") };
+        link.write(b"SELECT 1".as_slice().into()).await.expect("written");
+        let reply = link.read().await;
+        (reply.outcome, reply.report.position, reply.reusable)
+    };
+    let (reply, ()) = tokio::join!(proxy, member);
+    reply
+}
+
+// Guards against passing on what no member made for the request, against waiting for an end that never comes,
+// and against a good answer lost to what comes along with it.
+#[tokio::test]
+async fn a_spoilt_answer_is_garbled_at_once_and_a_good_one_is_served() {
+    let description = typed(b'T', &[b"\0\x01val\0".as_slice(), &[0; 18]].concat());
+    let row = typed(b'D', b"\0\x01\0\0\0\x02ok");
+    let (complete, ready) = (typed(b'C', b"SELECT 1\0"), typed(b'Z', b"I"));
+    let health = |text: &[u8]| typed(b'S', &[b"health\0", text, b"\0"].concat());
+    let ends = [&complete[..], &ready].concat();
+    let good = [&description[..], &row, &ends].concat();
+    let with = |row: &[u8]| [&description[..], row, &ends].concat();
+    let garbled = [
+        b"noise without an end".to_vec(),
+        with(&[&b"D"[..], &3_000_000_000u32.to_be_bytes(), b"\0\x01"].concat()),
+        with(&typed(b'D', b"\0\x01\0\0\0\x03ok")),
+        with(&typed(b'D', b"\0\x01\0\0\0\x01ok")),
+        with(&typed(b'D', b"\0\x02\0\0\0\x02ok\0\0\0\x02ok")),
+        with(&typed(b'D', b"\0\x01\xff\xff\xff\xff")),
+        with(&[&row[..], &row].concat()),
+        with(b""),
+        [&row[..], &ends].concat(),
+        [&typed(b'T', &[b"\0\x02val\0".as_slice(), &[0; 18]].concat()), &row[..], &ends].concat(),
+        [&description[..], &row, &ready].concat(),
+        [&description[..], &row, &typed(b'C', b"SELECT 1"), &ready].concat(),
+        [&description[..], &row, &complete, &typed(b'Z', b"?")].concat(),
+        [&description[..], &row, &typed(b'E', b"SERROR\0C53300\0\0"), &ready].concat(),
+        [&typed(b'E', b"SERROR\0C53\0\0"), &ready[..]].concat(),
+        // The rest of these never comes.
+        good[..good.len() - 1].to_vec(),
+        [&description[..], &row[..9]].concat(),
+    ];
+    for bytes in garbled {
+        assert_eq!(reply_to(bytes.clone()).await, (Outcome::Garbled, None, false), "{bytes:?}");
+    }
+    assert_eq!(reply_to(good.clone()).await, (Outcome::Ok, None, true));
+    for more in [&good[..], b"\xffnoise"] {
+        assert_eq!(reply_to([&good, more].concat()).await, (Outcome::Ok, None, false), "{more:?}");
+    }
+    let told = |report: Vec<u8>| [&report[..], &good].concat();
+    let position = Some(Time(7_000_000));
+    assert_eq!(reply_to(told(health(b"x0=7,x1=1"))).await, (Outcome::Ok, position, true));
+    for report in [health(b"x0=7,x1=\xff"), health(b"x0=7,x1"), typed(b'S', b"health")] {
+        assert_eq!(reply_to(told(report)).await, (Outcome::Ok, None, true));
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -432,3 +432,36 @@
         assert_eq!(rig.sends(write).len() + rig.finals(write), 1, "sent, or refused in time to come back");
     }
 }
+
+// Guards against holding it against a member that its answers arrive spoilt, and against a repeat of what may
+// have run.
+#[test]
+fn a_garbled_answer_may_have_run_and_says_nothing_against_the_member() {
+    let mut rig = Rig::new(settings());
+    let read = rig.ask(BOUNDED, 2_000, None);
+    let sent = rig.sends(read);
+    rig.answer(read, 0, sent[0], Outcome::Garbled, 20, None, None);
+    assert_eq!(rig.sends(read).len(), 2, "a read is sent again");
+    let write = rig.ask(WRITE, 2_000, None);
+    rig.answer(write, 0, 1, Outcome::Garbled, 20, None, None);
+    assert!(rig.out.contains(&Action::Fail { id: write }), "an unsafe write is not");
+    for _ in 0..20 {
+        let probed =
+            Event::Probed { member: MemberId(1), outcome: Outcome::Garbled, report: LoadReport::default() };
+        rig.event(probed);
+        let id = rig.ask(WRITE, 2_000, None);
+        assert_eq!(rig.sends(id), [1], "the member stays in use");
+        rig.answer(id, 0, 1, Outcome::Garbled, 20, None, None);
+    }
+}
+
+// Guards against reads of data older than they may be, for a report that tells of the future.
+#[test]
+fn a_position_from_the_future_is_not_believed() {
+    let mut rig = Rig::new(Settings { check: ReplicaCheck::None, ..settings() });
+    rig.report(2, rig.now + 3_600_000 * MS, Role::Replica);
+    let commit = rig.write(5, 50);
+    rig.wait(100);
+    let id = rig.ask(SESSION, 2_000, Some(5));
+    assert!(!rig.sends(id).contains(&2), "nobody has told that it applied {commit}");
+}
