End bad clients with an error: none of their requests reaches a member any more

Examined: intake gives every request an id of its own and looks at no client's id, so a copy of an open request is served; 16 commands wait and the rest stay unread, so hundreds sent at once are served one by one; after a length out of bounds 1 KB at a time was read away for 200 ms, then the rest unread, so that a reset could take the error along; a message that never ends held its place. Ruled out: the members' refusals (they came after the request had been sent).

Now an id is open from a request's last byte to its answer, and a second request under it is an error (42710); a 17th waiting command, 8 malformed statements in a row and a message unfinished after 2.5 s end the connection with an error; what follows a fatal error is read away for up to 4 s, without a buffer kept. A quarter of limits.memory_mb, shared by all connections, is entered by a message when its header comes.

--- a/src/clients/desk.rs
+++ b/src/clients/desk.rs
@@ -1,9 +1,9 @@
 //! Where sessions hand their requests in: the stages before the decisions, and the way back.
 
-use crate::api::{RequestId, Span};
+use crate::api::{ClassId, RequestId, Span};
 use crate::stages::admit::{Admit, Place};
 use crate::stages::book::Book;
-use crate::stages::intake::{Intake, IntakeError};
+use crate::stages::intake::{Intake, IntakeError, OpenId};
 use crate::stages::{Answer, Incoming, Input, Taken};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -16,10 +16,18 @@
 pub struct Desk {
     intake: Intake,
     admit: Admit,
+    memory: Admit,
     book: Book,
     inbox: mpsc::UnboundedSender<Input>,
 }
 
+/// A request whose id is open, from its last byte to its answer.
+pub struct Claim {
+    incoming: Incoming,
+    class: ClassId,
+    id: OpenId,
+}
+
 /// A request that was handed in. Dropped before its answer, it tells the decisions that the client has left.
 pub struct Pending {
     id: RequestId,
@@ -27,6 +35,7 @@
     answered: bool,
     inbox: mpsc::UnboundedSender<Input>,
     _place: Place,
+    _open: OpenId,
 }
 
 impl Pending {
@@ -47,9 +56,11 @@
 }
 
 impl Desk {
-    /// A desk before the decisions that read `inbox`.
-    pub fn new(intake: Intake, admit: Admit, book: Book, inbox: mpsc::UnboundedSender<Input>) -> Desk {
-        Desk { intake, admit, book, inbox }
+    /// A desk before the decisions that read `inbox`; requests held and the memory of messages are admitted.
+    pub fn new(
+        intake: Intake, admit: Admit, memory: Admit, book: Book, inbox: mpsc::UnboundedSender<Input>,
+    ) -> Desk {
+        Desk { intake, admit, memory, book, inbox }
     }
 
     /// Refuses a request at the edge.
@@ -70,10 +81,23 @@
         self.admit.held()
     }
 
-    /// Hands a request in; `Ok(Err(_))` is its final answer already.
-    pub fn hand_in(&self, incoming: Incoming) -> Result<Result<Pending, Answer>, IntakeError> {
-        let request = self.intake.take(&incoming).inspect_err(|_| self.malformed())?;
-        let Some(place) = self.admit.enter() else { return Ok(Err(self.refuse())) };
+    /// The memory that clients' messages share, in bytes.
+    pub fn memory(&self) -> Admit {
+        self.memory.clone()
+    }
+
+    /// Claims a request's id when it comes.
+    pub fn claim(&self, incoming: Incoming) -> Result<Claim, IntakeError> {
+        let (class, id) = (self.intake.class(&incoming)?, self.intake.open(&incoming)?);
+        Ok(Claim { incoming, class, id })
+    }
+
+    /// Hands a request in that has waited so long; the error is its final answer already.
+    pub fn hand_in(&self, claim: Claim, waited: Duration) -> Result<Pending, Answer> {
+        let Claim { mut incoming, class, id: open } = claim;
+        incoming.wait_ms = incoming.wait_ms.saturating_sub(waited.as_millis() as u64);
+        let request = self.intake.take(&incoming, class);
+        let Some(place) = self.admit.enter() else { return Err(self.refuse()) };
         self.book.taken();
         let (reply, answer) = oneshot::channel();
         let deadline = Instant::now() + Duration::from_micros(request.left.0);
@@ -81,6 +105,6 @@
         let taken = Taken { request, payload: incoming.payload, deadline, reply };
         // Without a driver the channel is closed, and the answer is that it failed.
         let _ = self.inbox.send(Input::Taken(Box::new(taken)));
-        Ok(Ok(Pending { id, answer, answered: false, inbox: self.inbox.clone(), _place: place }))
+        Ok(Pending { id, answer, answered: false, inbox: self.inbox.clone(), _place: place, _open: open })
     }
 }
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -1,31 +1,44 @@
 //! One client connection: queries in, answers out in their order.
 
-use super::desk::Desk;
+use super::desk::{Claim, Desk};
 use super::listener::Phase;
 use super::roster::Seated;
 use crate::close_reason::CloseReason;
 use crate::pg::PgError;
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
 use crate::pg::statement::{self, StatementError};
-use crate::stages::{Answer, Incoming};
+use crate::stages::Answer;
+use crate::stages::admit::Place;
+use crate::stages::intake::IntakeError;
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::Framed;
 
 /// A client that has not sent its startup message by then is let go.
 const STARTUP_WITHIN: Duration = Duration::from_millis(2_500);
 /// A client that doesn't read its answer for so long is let go.
-const WRITE_WITHIN: Duration = Duration::from_secs(10);
-/// After a fatal error, what the client still sends is read away so long, so that the error reaches it.
-const LINGER: Duration = Duration::from_millis(200);
-/// Queries that one connection may have waiting; more stay unread.
+const WRITE_WITHIN: Duration = Duration::from_secs(3);
+/// After a fatal error, what the client still sends is read away so that the error reaches it: until it has
+/// been silent for the first, for the second at most.
+const LINGER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
+/// What is read away at a time.
+const AWAY: usize = 32 * 1024;
+/// A message that has begun is there whole by then.
+const MESSAGE_WITHIN: Duration = Duration::from_millis(2_500);
+/// How often a message that has begun is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Commands that one connection may have waiting; with one more it ends.
 const PIPELINE_MOST: usize = 16;
+/// So many malformed statements in a row end a connection.
+const MALFORMED_MOST: u32 = 8;
 /// A buffer that grew past this is given back after the answer.
 const BUFFER_KEPT: usize = 32 * 1024;
 
@@ -38,29 +51,49 @@
     Refuse,
 }
 
+/// What came, and when.
+struct Came {
+    what: Message,
+    at: Instant,
+}
+
+/// A message, taken apart when it comes.
+enum Message {
+    /// A request, its id open, and the memory that it takes.
+    Request(Claim, Option<Place>),
+    /// A statement that is no request, with its error.
+    Malformed(Wire),
+    /// Anything else.
+    Plain(Frontend),
+}
+
 struct Session<S> {
     framed: Framed<S, FrontendCodec>,
     desk: Rc<Desk>,
     seated: Seated,
-    /// What came while an earlier query was being answered, and when.
-    waiting: VecDeque<(Frontend, Instant)>,
+    /// What came while an earlier query was being answered.
+    waiting: VecDeque<Came>,
     /// The input is broken: what was taken is answered, then the connection ends.
     broken: Option<PgError>,
     /// An extended message failed: all up to the next Sync is passed over.
     skipping: bool,
+    /// Malformed statements in a row.
+    malformed: u32,
 }
 
 /// Serves a connection to its end, and says why it ended.
 pub async fn run<S: AsyncRead + AsyncWrite + Unpin>(
     stream: S, desk: Rc<Desk>, seated: Seated, manner: Manner, mut phase: watch::Receiver<Phase>,
 ) -> CloseReason {
-    let framed = Framed::new(stream, FrontendCodec::default());
-    let mut s = Session { framed, desk, seated, waiting: VecDeque::new(), broken: None, skipping: false };
+    let framed = Framed::new(stream, FrontendCodec::new(desk.memory()));
+    let waiting = VecDeque::new();
+    let mut s = Session { framed, desk, seated, waiting, broken: None, skipping: false, malformed: 0 };
     let reason = match s.serve(manner, &mut phase).await {
         Ok(()) => CloseReason::Terminated,
         Err(reason) => reason,
     };
-    if matches!(reason, CloseReason::Protocol | CloseReason::EdgeFull) {
+    if matches!(reason, CloseReason::Protocol | CloseReason::PipelineFull | CloseReason::EdgeFull) {
+        s.seated.idle();
         s.linger().await;
     }
     reason
@@ -77,6 +110,10 @@
     Wire::Error { fatal: false, code, message: message.to_string(), detail: None }
 }
 
+fn fatal(code: &'static str, message: impl ToString) -> Wire {
+    Wire::Error { fatal: true, code, message: message.to_string(), detail: None }
+}
+
 /// A final answer in the protocol's words. Only a refusal uses 53300.
 fn wire(answer: Answer, fatal: bool) -> Wire {
     match answer {
@@ -95,52 +132,75 @@
     async fn serve(&mut self, manner: Manner, phase: &mut watch::Receiver<Phase>) -> Result<(), CloseReason> {
         self.start(phase).await?;
         loop {
-            let (message, came) = match self.waiting.pop_front() {
+            let came = match self.waiting.pop_front() {
                 Some(next) => next,
                 None => match self.next(phase).await? {
-                    Some(message) => (message, Instant::now()),
+                    Some(message) => self.came(message),
                     None => return Err(CloseReason::PeerClosed),
                 },
             };
-            let statement = match message {
-                Frontend::Terminate => return Ok(()),
-                Frontend::Sync => {
+            match came.what {
+                Message::Plain(Frontend::Terminate) => return Ok(()),
+                Message::Plain(Frontend::Sync) => {
                     self.skipping = false;
                     self.reply([Wire::Ready]).await?;
-                    continue;
                 }
-                _ if self.skipping => continue,
-                Frontend::Extended(_) => {
+                _ if self.skipping => {}
+                Message::Plain(Frontend::Extended(_)) => {
                     self.skipping = true;
                     self.reply([error("0A000", "the extended query protocol is not supported")]).await?;
-                    continue;
                 }
-                Frontend::Query(statement) => statement,
-                Frontend::Encryption | Frontend::Cancel | Frontend::Startup | Frontend::Idle => continue,
-            };
-            if statement::is_empty(&statement) {
-                self.reply([Wire::Empty, Wire::Ready]).await?;
-                continue;
-            }
-            if manner == Manner::Refuse {
-                let refused = self.desk.refuse();
-                self.reply([wire(refused, true)]).await?;
-                return Err(CloseReason::EdgeFull);
-            }
-            match statement::parse(&statement) {
-                Ok(incoming) => self.query(incoming, came).await?,
-                Err(problem) => {
-                    self.desk.malformed();
-                    let code = match problem {
-                        StatementError::Wrong(_) => "22023",
-                        StatementError::NoComment | StatementError::Missing(_) => "42601",
-                    };
-                    self.reply([error(code, problem), Wire::Ready]).await?;
+                Message::Plain(Frontend::Query(_)) => self.reply([Wire::Empty, Wire::Ready]).await?,
+                Message::Plain(_) => {}
+                _ if manner == Manner::Refuse => {
+                    let refused = self.desk.refuse();
+                    self.reply([wire(refused, true)]).await?;
+                    return Err(CloseReason::EdgeFull);
+                }
+                Message::Request(claim, share) => {
+                    self.malformed = 0;
+                    self.query(claim, came.at.elapsed()).await?;
+                    drop(share);
+                }
+                Message::Malformed(error) => {
+                    self.malformed += 1;
+                    self.reply([error, Wire::Ready]).await?;
+                    if self.malformed >= MALFORMED_MOST {
+                        return Err(CloseReason::Protocol);
+                    }
                 }
             }
         }
     }
 
+    /// Takes a message apart. From here on the id of a request is open.
+    fn came(&mut self, message: Frontend) -> Came {
+        let share = self.framed.codec_mut().share();
+        let what = match message {
+            Frontend::Query(statement) if !statement::is_empty(&statement) => {
+                let claim = statement::parse(&statement).map_err(|problem| {
+                    let wrong = matches!(problem, StatementError::Wrong(_));
+                    error(if wrong { "22023" } else { "42601" }, problem)
+                });
+                let claim = claim.and_then(|incoming| {
+                    self.desk.claim(incoming).map_err(|problem| {
+                        let in_use = problem == IntakeError::IdInUse;
+                        error(if in_use { "42710" } else { "22023" }, problem)
+                    })
+                });
+                match claim {
+                    Ok(claim) => Message::Request(claim, share),
+                    Err(error) => {
+                        self.desk.malformed();
+                        Message::Malformed(error)
+                    }
+                }
+            }
+            other => Message::Plain(other),
+        };
+        Came { what, at: Instant::now() }
+    }
+
     /// Everything up to the first query.
     async fn start(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(), CloseReason> {
         let by = Instant::now() + STARTUP_WITHIN;
@@ -163,45 +223,53 @@
         if let Some(problem) = self.broken.take() {
             return Err(self.violation(problem).await);
         }
-        tokio::select! {
-            biased;
-            next = self.framed.next() => match next {
-                None => Ok(None),
-                Some(Ok(message)) => Ok(Some(message)),
-                Some(Err(problem)) => Err(self.violation(problem).await),
-            },
-            _ = phase.wait_for(|p| *p >= Phase::Closing) => Err(CloseReason::Stopping),
-            () = self.seated.told_to_leave() => Err(CloseReason::MadeRoom),
+        let mut begun = None;
+        loop {
+            tokio::select! {
+                biased;
+                next = self.framed.next() => return match next {
+                    None => Ok(None),
+                    Some(Ok(message)) => Ok(Some(message)),
+                    Some(Err(problem)) => Err(self.violation(problem).await),
+                },
+                _ = phase.wait_for(|p| *p >= Phase::Closing) => return Err(CloseReason::Stopping),
+                () = self.seated.told_to_leave() => return Err(CloseReason::MadeRoom),
+                () = sleep(LOOK_EVERY) => {}
+            }
+            if self.framed.read_buffer().is_empty() {
+                begun = None;
+            } else if begun.get_or_insert_with(Instant::now).elapsed() + LOOK_EVERY >= MESSAGE_WITHIN {
+                return Err(self.violation(PgError::Body("it does not end")).await);
+            }
         }
     }
 
     async fn violation(&mut self, problem: PgError) -> CloseReason {
         let reason = io_reason(&problem);
-        if reason == CloseReason::Protocol {
-            let (message, detail) = (problem.to_string(), None);
-            let _ = self.reply([Wire::Error { fatal: true, code: "08P01", message, detail }]).await;
-        }
+        let answer = match problem {
+            PgError::Io(_) => return reason,
+            PgError::Memory(_) => wire(self.desk.refuse(), true),
+            _ => fatal("08P01", problem),
+        };
+        let _ = self.reply([answer]).await;
         reason
     }
 
-    /// One request, from its statement to its answer. Meanwhile the client may send more, or leave.
-    async fn query(&mut self, mut incoming: Incoming, came: Instant) -> Result<(), CloseReason> {
-        // It has waited behind the ones before it.
-        incoming.wait_ms = incoming.wait_ms.saturating_sub(came.elapsed().as_millis() as u64);
+    /// One request, to its answer. Meanwhile the client may send more, or leave.
+    async fn query(&mut self, claim: Claim, waited: Duration) -> Result<(), CloseReason> {
         self.seated.busy();
-        let answered = self.answer(incoming).await;
+        let answered = self.answer(claim, waited).await;
         self.seated.idle();
         answered
     }
 
-    async fn answer(&mut self, incoming: Incoming) -> Result<(), CloseReason> {
-        let mut pending = match self.desk.hand_in(incoming) {
-            Ok(Ok(pending)) => pending,
-            Ok(Err(answer)) => return self.reply([wire(answer, false), Wire::Ready]).await,
-            Err(problem) => return self.reply([error("22023", problem), Wire::Ready]).await,
+    async fn answer(&mut self, claim: Claim, waited: Duration) -> Result<(), CloseReason> {
+        let mut pending = match self.desk.hand_in(claim, waited) {
+            Ok(pending) => pending,
+            Err(answer) => return self.reply([wire(answer, false), Wire::Ready]).await,
         };
         let answer = loop {
-            let reads = self.broken.is_none() && self.waiting.len() < PIPELINE_MOST;
+            let reads = self.broken.is_none();
             tokio::select! {
                 biased;
                 answer = pending.answer() => break answer,
@@ -210,7 +278,15 @@
                     Some(Ok(Frontend::Terminate)) if self.waiting.is_empty() => {
                         return Err(CloseReason::ClientGone);
                     }
-                    Some(Ok(message)) => self.waiting.push_back((message, Instant::now())),
+                    Some(Ok(_)) if self.waiting.len() >= PIPELINE_MOST => {
+                        // Who sends so much at once reads no order of answers: all of it is given up.
+                        let _ = self.reply([fatal("54000", "too many commands at once")]).await;
+                        return Err(CloseReason::PipelineFull);
+                    }
+                    Some(Ok(message)) => {
+                        let came = self.came(message);
+                        self.waiting.push_back(came);
+                    }
                     Some(Err(problem)) => self.broken = Some(problem),
                 },
             }
@@ -245,10 +321,24 @@
 
     /// Closing with input unread would reset the connection and take the last answer along.
     async fn linger(&mut self) {
-        let stream = self.framed.get_mut();
-        let _ = stream.shutdown().await;
-        let mut away = [0u8; 1024];
-        let drain = async { while stream.read(&mut away).await.is_ok_and(|n| n > 0) {} };
-        let _ = timeout(LINGER, drain).await;
+        let _ = self.framed.get_mut().shutdown().await;
+        let (silent, most) = LINGER;
+        let (seated, stream) = (&self.seated, self.framed.get_mut());
+        let drain = async { while timeout(silent, away(stream)).await.is_ok_and(|more| more) {} };
+        tokio::select! {
+            _ = timeout(most, drain) => {}
+            () = seated.told_to_leave() => {}
+        }
     }
 }
+
+/// Reads some input away, keeping no buffer while it waits; false at its end.
+async fn away<S: AsyncRead + Unpin>(stream: &mut S) -> bool {
+    poll_fn(|cx| {
+        let mut bytes = [0; AWAY];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        let read = Pin::new(&mut *stream).poll_read(cx, &mut buffer);
+        read.map(|done| done.is_ok() && !buffer.filled().is_empty())
+    })
+    .await
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,6 +10,8 @@
 
 /// Descriptors assumed where the configuration names no limit.
 const SOCKETS: u64 = 1_024;
+/// Memory in MB assumed where the configuration names no limit.
+const MEMORY_MB: u64 = 192;
 
 #[derive(Deserialize)]
 struct ConfigDoc {
@@ -24,6 +26,7 @@
 
 #[derive(Deserialize)]
 struct LimitsDoc {
+    memory_mb: Option<u64>,
     sockets: Option<u64>,
 }
 
@@ -39,6 +42,8 @@
     pub seed: u64,
     /// Descriptors that this process may hold.
     pub sockets: usize,
+    /// Memory that this process may use, in bytes.
+    pub memory: usize,
     /// The list as it was last known.
     pub known: Option<Listing>,
     /// The settings.
@@ -138,9 +143,11 @@
         let mut names = Names::default();
         let profile = need("settings", doc.settings).map_err(form)?;
         let site = profile.site(&mut names.zones).map_err(inside("settings"))?;
-        let sockets = doc.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS);
-        let sockets = usize::try_from(sockets).unwrap_or(usize::MAX);
+        let limits = doc.limits.unwrap_or(LimitsDoc { memory_mb: None, sockets: None });
+        let size = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+        let sockets = size(limits.sockets.unwrap_or(SOCKETS));
+        let memory = size(limits.memory_mb.unwrap_or(MEMORY_MB)).saturating_mul(1 << 20);
         let name = variables.name.or(doc.name).unwrap_or_default();
-        Ok(Config { name, listen, discovery, seed, sockets, known, site, names })
+        Ok(Config { name, listen, discovery, seed, sockets, memory, known, site, names })
     }
 }
--- a/src/pg/backend.rs
+++ b/src/pg/backend.rs
@@ -1,7 +1,7 @@
 //! The member-facing side: what members answer, decoded, and what they are sent, encoded.
 
 use super::frontend::{message, put_text};
-use super::{PgError, VALUE_MOST, frame, text};
+use super::{PgError, VALUE_MOST, header, take, text};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -125,7 +125,8 @@
     type Error = PgError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Backend>, PgError> {
-        let Some((kind, raw)) = frame(src, bounds)? else { return Ok(None) };
+        let Some((kind, length)) = header(src, bounds)? else { return Ok(None) };
+        let Some(raw) = take(src, length) else { return Ok(None) };
         let body = raw.slice(5..);
         Ok(Some(match kind {
             b'R' => match body.get(..4) {
--- a/src/pg/frontend.rs
+++ b/src/pg/frontend.rs
@@ -1,6 +1,7 @@
 //! The client-facing side: what clients send, decoded, and what they are answered, encoded.
 
-use super::{MESSAGE_MOST, PgError, frame, text};
+use super::{MESSAGE_MOST, PgError, header, take, text};
+use crate::stages::admit::{Admit, Place};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -58,9 +59,30 @@
 }
 
 /// The codec; the first message has no type.
-#[derive(Default)]
 pub struct FrontendCodec {
     started: bool,
+    memory: Admit,
+    /// Memory for the message that is coming in, and for the one returned last.
+    coming: Option<Place>,
+    returned: Option<Place>,
+}
+
+impl Default for FrontendCodec {
+    fn default() -> FrontendCodec {
+        FrontendCodec::new(Admit::new(usize::MAX))
+    }
+}
+
+impl FrontendCodec {
+    /// A codec whose messages share `memory`, in bytes, with those of others.
+    pub fn new(memory: Admit) -> FrontendCodec {
+        FrontendCodec { started: false, memory, coming: None, returned: None }
+    }
+
+    /// The memory of the message returned last, to be kept as long as the message.
+    pub fn share(&mut self) -> Option<Place> {
+        self.returned.take()
+    }
 }
 
 /// The least and most length of what clients send.
@@ -80,7 +102,12 @@
         if !self.started {
             return self.startup(src);
         }
-        let Some((kind, mut body)) = frame(src, bounds)? else { return Ok(None) };
+        let Some((kind, length)) = header(src, bounds)? else { return Ok(None) };
+        if self.coming.is_none() {
+            self.coming = Some(self.memory.enter_by(length).ok_or(PgError::Memory(length))?);
+        }
+        let Some(mut body) = take(src, length) else { return Ok(None) };
+        self.returned = self.coming.take();
         body.advance(5);
         Ok(Some(match kind {
             b'Q' => {
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -22,6 +22,8 @@
     Kind(u8),
     /// A body that is not as its type says.
     Body(&'static str),
+    /// No memory is left for a message of this length.
+    Memory(usize),
     /// The connection itself failed.
     Io(io::Error),
 }
@@ -38,6 +40,7 @@
             PgError::Length(n) => write!(f, "invalid message length {n}"),
             PgError::Kind(k) => write!(f, "invalid message type {k}"),
             PgError::Body(what) => write!(f, "malformed message: {what}"),
+            PgError::Memory(n) => write!(f, "no memory is left for a message of {n} bytes"),
             PgError::Io(e) => write!(f, "{e}"),
         }
     }
@@ -45,12 +48,12 @@
 
 impl std::error::Error for PgError {}
 
-/// Takes one whole typed message off the front, header included; `None` until it is all there. `bounds` tells
-/// the least and most length of a kind, or none for a kind that does not exist: what can't be a message is an
-/// error at once, and nothing is set aside or waited for on its word.
-pub(crate) fn frame(
-    src: &mut BytesMut, bounds: impl Fn(u8) -> Option<(usize, usize)>,
-) -> Result<Option<(u8, Bytes)>, PgError> {
+/// The kind and length of the typed message at the front, once they are there. `bounds` tells the least and most
+/// length of a kind, or none for a kind that does not exist: what can't be a message is an error at once, and
+/// nothing is set aside or waited for on its word.
+pub(crate) fn header(
+    src: &BytesMut, bounds: impl Fn(u8) -> Option<(usize, usize)>,
+) -> Result<Option<(u8, usize)>, PgError> {
     let Some((&kind, rest)) = src.split_first() else { return Ok(None) };
     let (least, most) = bounds(kind).ok_or(PgError::Kind(kind))?;
     let Some(length) = rest.first_chunk::<4>().map(|b| u32::from_be_bytes(*b) as usize) else {
@@ -59,7 +62,12 @@
     if !(least..=most).contains(&length) {
         return Err(PgError::Length(length));
     }
-    Ok((src.len() > length).then(|| (kind, src.split_to(1 + length).freeze())))
+    Ok(Some((kind, length)))
+}
+
+/// Takes a typed message of this length off the front, header included; `None` until it is all there.
+pub(crate) fn take(src: &mut BytesMut, length: usize) -> Option<Bytes> {
+    (src.len() > length).then(|| src.split_to(1 + length).freeze())
 }
 
 /// Reads a NUL-terminated text off the front.
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -68,9 +68,10 @@
             _ => {}
         }
     }
-    id.ok_or(StatementError::Missing("id"))?;
+    let id = id.ok_or(StatementError::Missing("id"))?.to_string();
     let (wait_ms, begin, end) = wait.ok_or(StatementError::Missing("d"))?;
     Ok(Incoming {
+        id,
         class: class.ok_or(StatementError::Missing("c"))?.to_string(),
         wait_ms,
         group: group.unwrap_or(0),
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -33,6 +33,8 @@
 const SERVED_PART: f64 = 0.60;
 const REFUSED_PART: f64 = 0.06;
 const MEMBERS_PART: f64 = 0.32;
+/// Of the memory, the part for what clients have sent and was not answered yet.
+const MESSAGES_PART: usize = 4;
 /// After being told to stop, connections still come for this long and are served.
 const STILL_SERVING: Duration = Duration::from_millis(450);
 /// What was taken ends by its deadline; the program ends this long after the longest.
@@ -75,7 +77,8 @@
     let sender = Sender::new(pool.clone(), inbox.clone(), book.clone(), limits.max_attempts);
     let longest = Duration::from_micros(site.longest.0);
     let intake = Intake::new(&site, clock);
-    let desk = Rc::new(Desk::new(intake, Admit::new(site.max_open), book.clone(), inbox.clone()));
+    let (held, memory) = (Admit::new(site.max_open), Admit::new(config.memory / MESSAGES_PART));
+    let desk = Rc::new(Desk::new(intake, held, memory, book.clone(), inbox.clone()));
     let subscribe = Rc::new(Notify::new());
     let version = known.as_ref().map_or(0, |k| k.version);
     let router = Router::new(site.settings, config.seed, clock.now());
--- a/src/stages/admit.rs
+++ b/src/stages/admit.rs
@@ -3,18 +3,23 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// The stage.
+/// The stage; copies share their places.
+#[derive(Clone, Debug)]
 pub struct Admit {
     open: Rc<Cell<usize>>,
     most: usize,
 }
 
-/// A place among the requests held; given back when dropped.
-pub struct Place(Rc<Cell<usize>>);
+/// A place among those held; given back when dropped.
+#[derive(Debug)]
+pub struct Place {
+    open: Rc<Cell<usize>>,
+    weight: usize,
+}
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        self.open.set(self.open.get().saturating_sub(self.weight));
     }
 }
 
@@ -31,14 +36,17 @@
 
     /// A place, or none when all are taken.
     pub fn enter(&self) -> Option<Place> {
-        if self.is_full() {
-            return None;
-        }
-        self.open.set(self.open.get() + 1);
-        Some(Place(self.open.clone()))
+        self.enter_by(1)
+    }
+
+    /// Room for so much at once, or none when too little is left.
+    pub fn enter_by(&self, weight: usize) -> Option<Place> {
+        let open = self.open.get().checked_add(weight).filter(|open| *open <= self.most)?;
+        self.open.set(open);
+        Some(Place { open: self.open.clone(), weight })
     }
 
-    /// Requests held now.
+    /// How much is held now.
     pub fn held(&self) -> usize {
         self.open.get()
     }
--- a/src/stages/intake.rs
+++ b/src/stages/intake.rs
@@ -4,9 +4,10 @@
 use crate::api::{ClassId, GroupId, ReadLevel, Request, RequestId, SessionKey, Span};
 use crate::clock::Clock;
 use crate::settings::Site;
-use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::rc::Rc;
 
 /// No client waits longer than this, whatever it says.
 const LONGEST_WAIT_MS: u64 = 600_000;
@@ -16,12 +17,15 @@
 pub enum IntakeError {
     /// The class is none of the settings'.
     UnknownClass,
+    /// A request with this id is open.
+    IdInUse,
 }
 
 impl fmt::Display for IntakeError {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             IntakeError::UnknownClass => write!(f, "field c names no class of the settings"),
+            IntakeError::IdInUse => write!(f, "field id names a request that is open"),
         }
     }
 }
@@ -34,6 +38,20 @@
     levels: Vec<ReadLevel>,
     clock: Clock,
     next: Cell<u64>,
+    open: Rc<RefCell<BTreeSet<String>>>,
+}
+
+/// A client's id while its request is open; free again when dropped.
+#[derive(Debug)]
+pub struct OpenId {
+    open: Rc<RefCell<BTreeSet<String>>>,
+    id: String,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.open.borrow_mut().remove(&self.id);
+    }
 }
 
 /// The session's number: hexadecimal keys as they are, others by a hash (FNV-1a).
@@ -48,12 +66,25 @@
     /// Reads classes by the settings.
     pub fn new(site: &Site, clock: Clock) -> Intake {
         let levels = site.settings.classes.iter().map(|c| c.read).collect();
-        Intake { classes: site.classes.clone(), levels, clock, next: Cell::new(0) }
+        Intake { classes: site.classes.clone(), levels, clock, next: Cell::new(0), open: Rc::default() }
     }
 
-    /// The request as the decisions know it, under an id of our own: clients' ids need not be unique.
-    pub fn take(&self, incoming: &Incoming) -> Result<Request, IntakeError> {
-        let class = *self.classes.get(&incoming.class).ok_or(IntakeError::UnknownClass)?;
+    /// The class's number.
+    pub fn class(&self, incoming: &Incoming) -> Result<ClassId, IntakeError> {
+        self.classes.get(&incoming.class).copied().ok_or(IntakeError::UnknownClass)
+    }
+
+    /// Opens a request's id, from its last byte to its answer: a second request must not run under it.
+    pub fn open(&self, incoming: &Incoming) -> Result<OpenId, IntakeError> {
+        let id = incoming.id.clone();
+        if !self.open.borrow_mut().insert(id.clone()) {
+            return Err(IntakeError::IdInUse);
+        }
+        Ok(OpenId { open: self.open.clone(), id })
+    }
+
+    /// The request as the decisions know it, under an id of our own: clients' ids need not be fresh.
+    pub fn take(&self, incoming: &Incoming, class: ClassId) -> Request {
         let level = self.levels.get(class.0).copied().unwrap_or(ReadLevel::Any);
         let sessions = matches!(level, ReadLevel::Write | ReadLevel::Session);
         let now = self.clock.now().0;
@@ -62,7 +93,7 @@
         let mut id = [b'0'; 36];
         self.next.set(self.next.get() + 1);
         id[16..].copy_from_slice(format!("{:020}", self.next.get()).as_bytes());
-        Ok(Request {
+        Request {
             id: RequestId(id),
             class,
             left: Span(incoming.wait_ms.min(LONGEST_WAIT_MS) * 1_000),
@@ -70,6 +101,6 @@
             token_age: incoming.after_ms.filter(|_| level == ReadLevel::Session).map(age),
             group: GroupId(incoming.group),
             session: incoming.key.as_deref().filter(|_| sessions).map(session),
-        })
+        }
     }
 }
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -36,6 +36,8 @@
 /// A request as a protocol hands it in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Incoming {
+    /// The client's id for it, of which one request may be open.
+    pub id: String,
     /// The class's name.
     pub class: String,
     /// How long the client waits, in milliseconds.
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -74,21 +74,125 @@
 
 type Events = mpsc::UnboundedReceiver<Input>;
 
-/// A session on one end of a stream, before a desk whose events are at hand.
-fn session() -> (DuplexStream, Events, impl Future<Output = CloseReason>, watch::Sender<Phase>) {
-    seated(Roster::new(9).sit())
-}
-
-fn seated(seated: Seated) -> (DuplexStream, Events, impl Future<Output = CloseReason>, watch::Sender<Phase>) {
+/// A desk whose events are at hand.
+fn desk() -> (Rc<Desk>, Events) {
     let text = include_str!("../examples/config.json");
     let config = Config::parse(text, Path::new("config.json"), Variables::default(), Reading::Start)
         .expect("a configuration");
     let (inbox, events) = mpsc::unbounded_channel();
     let intake = Intake::new(&config.site, Clock::start());
-    let desk = Desk::new(intake, Admit::new(9), Book::new(Rc::new(Counters::default())), inbox);
+    let book = Book::new(Rc::new(Counters::default()));
+    (Rc::new(Desk::new(intake, Admit::new(9), Admit::new(256 * 1024), book, inbox)), events)
+}
+
+/// A session on one end of a stream, before this desk.
+fn before(
+    desk: &Rc<Desk>, seated: Seated,
+) -> (DuplexStream, impl Future<Output = CloseReason> + use<>, watch::Sender<Phase>) {
     let (near, far) = duplex(4096);
     let (tell, phase) = watch::channel(Phase::Serving);
-    (near, events, session::run(far, Rc::new(desk), seated, Manner::Serve, phase), tell)
+    (near, session::run(far, desk.clone(), seated, Manner::Serve, phase), tell)
+}
+
+fn session() -> (DuplexStream, Events, impl Future<Output = CloseReason>, watch::Sender<Phase>) {
+    let (desk, events) = desk();
+    let (near, session, tell) = before(&desk, Roster::new(9).sit());
+    (near, events, session, tell)
+}
+
+const STARTUP: &[u8] = b"\0\0\0\x08\0\x03\0\0";
+
+fn query(id: &str, class: &str) -> Vec<u8> {
+    typed(b'Q', format!("/* id={id},c={class},d=900,cluster=1 */ SELECT 1\0").as_bytes())
+}
+
+/// Plays a client that sends this at once and reads to the end: what it got, and why the connection ended.
+async fn send_all(bytes: &[u8]) -> (String, CloseReason) {
+    let (near, _events, session, _tell) = session();
+    let (mut reader, mut writer) = tokio::io::split(near);
+    let read = async {
+        let mut got = Vec::new();
+        reader.read_to_end(&mut got).await.expect("read");
+        String::from_utf8_lossy(&got).into_owned()
+    };
+    let write = async { writer.write_all(&[STARTUP, bytes].concat()).await.expect("all is read") };
+    let (reason, got, ()) = tokio::join!(session, read, write);
+    (got, reason)
+}
+
+// Guards against bad clients that are left without an error or an end, that hold a place, or that are served.
+#[tokio::test(start_paused = true)]
+async fn a_bad_client_gets_an_error_and_an_end() {
+    let protocol = |what: &str, bytes: Vec<u8>| (what.to_string(), bytes, "08P01", CloseReason::Protocol);
+    let huge = [b"Q".as_slice(), &(8u32 << 20).to_be_bytes(), &vec![b'x'; 8 << 20]].concat();
+    let many: Vec<u8> = (0..300).flat_map(|i| query(&i.to_string(), "list")).collect();
+    let unread: Vec<u8> = (0..8).flat_map(|_| query("", "list")).collect();
+    for (what, bytes, code, ends) in [
+        protocol("a value of 8 MB", huge),
+        protocol("a length without its bytes", query("1", "list")[..30].to_vec()),
+        protocol("a negative length", b"Q\xff\xff\xff\xff".to_vec()),
+        protocol("noise", b"\x07noise".to_vec()),
+        ("hundreds of commands".into(), many, "54000", CloseReason::PipelineFull),
+        ("the same again and again".into(), unread, "42601", CloseReason::Protocol),
+    ] {
+        let (got, reason) = send_all(&bytes).await;
+        assert!(got.contains(code) && reason == ends, "{what}: {reason:?}, {got:?}");
+    }
+    let (got, _) = send_all(&[query("1", "none"), b"X\0\0\0\x04".to_vec()].concat()).await;
+    assert!(got.contains("field c"), "{got:?}");
+}
+
+// Guards against a second request under the id of an open one, and against the first one's coming to harm.
+#[tokio::test(start_paused = true)]
+async fn the_id_of_an_open_request_is_taken() {
+    let (desk, mut events) = desk();
+    let (roster, ask) = (Roster::new(9), [STARTUP, &query("7", "list")].concat());
+    let (mut first, serve_first, _tell) = before(&desk, roster.sit());
+    let (mut second, serve_second, _tell2) = before(&desk, roster.sit());
+    let play = async {
+        first.write_all(&ask).await.expect("written");
+        let Some(Input::Taken(taken)) = events.recv().await else { panic!("nothing was taken") };
+        second.write_all(&ask).await.expect("written");
+        let mut got = [0; 512];
+        let mut text = String::new();
+        while !text.contains("C42710\0") {
+            let read = second.read(&mut got).await.expect("read");
+            text.push_str(&String::from_utf8_lossy(&got[..read]));
+        }
+        taken.reply.send(Answer::Served(b"the row".as_slice().into())).expect("still owed");
+        let mut text = String::new();
+        while !text.contains("the row") {
+            let read = first.read(&mut got).await.expect("read");
+            text.push_str(&String::from_utf8_lossy(&got[..read]));
+        }
+        assert!(events.try_recv().is_err(), "the second was not handed in");
+        second.write_all(&ask[STARTUP.len()..]).await.expect("written");
+        assert!(matches!(events.recv().await, Some(Input::Taken(_))), "after its answer an id is free");
+        drop((first, second));
+    };
+    tokio::join!(serve_first, serve_second, play);
+}
+
+// Guards against messages that together take more memory than there is.
+#[tokio::test(start_paused = true)]
+async fn without_memory_for_its_message_a_client_is_refused() {
+    let (desk, _events) = desk();
+    let roster = Roster::new(9);
+    let large = [STARTUP, b"Q", &(150u32 << 10).to_be_bytes(), b"/* "].concat();
+    let (mut first, serve_first, _tell) = before(&desk, roster.sit());
+    let (mut second, serve_second, _tell2) = before(&desk, roster.sit());
+    let play = async {
+        first.write_all(&large).await.expect("written");
+        sleep(Duration::from_millis(10)).await;
+        second.write_all(&large).await.expect("written");
+        let mut got = Vec::new();
+        second.read_to_end(&mut got).await.expect("read");
+        let got = String::from_utf8_lossy(&got).into_owned();
+        assert!(got.contains("C53300\0") && got.contains("\0D"), "{got:?}");
+        drop(first);
+    };
+    tokio::join!(serve_first, serve_second, play);
+    assert!(desk.memory().enter_by(256 * 1024).is_some(), "all of it is given back");
 }
 
 // Guards against connections that cost a descriptor for ever and never say a word.
@@ -127,7 +231,8 @@
 #[tokio::test(start_paused = true)]
 async fn who_is_told_to_leave_leaves_between_requests() {
     let roster = Roster::new(1);
-    let (mut near, mut events, session, _tell) = seated(roster.sit());
+    let (desk, mut events) = desk();
+    let (mut near, session, _tell) = before(&desk, roster.sit());
     let client = async {
         near.write_all(b"\0\0\0\x08\0\x03\0\0").await.expect("written");
         let query = b"Q\0\0\0\x2f/* id=1,c=list,d=900,cluster=1 */ SELECT 1\0";
