--- a/src/clients/desk.rs
+++ b/src/clients/desk.rs
@@ -1,6 +1,6 @@
 //! Where sessions hand their requests in: the stages before the decisions, and the way back.
 
-use crate::api::{ClassId, RequestId, Span};
+use crate::api::{ClassId, ReadLevel, RequestId, Span};
 use crate::stages::admit::{Admit, Place};
 use crate::stages::book::Book;
 use crate::stages::intake::{Intake, IntakeError, OpenId};
@@ -25,9 +25,17 @@
 pub struct Claim {
     incoming: Incoming,
     class: ClassId,
+    writes: bool,
     id: OpenId,
 }
 
+impl Claim {
+    /// Whether the request writes.
+    pub fn writes(&self) -> bool {
+        self.writes
+    }
+}
+
 /// A request that was handed in. Dropped before its answer, it tells the decisions that the client has left.
 pub struct Pending {
     id: RequestId,
@@ -89,12 +97,13 @@
     /// Claims a request's id when it comes.
     pub fn claim(&self, incoming: Incoming) -> Result<Claim, IntakeError> {
         let (class, id) = (self.intake.class(&incoming)?, self.intake.open(&incoming)?);
-        Ok(Claim { incoming, class, id })
+        let writes = self.intake.level(class) == ReadLevel::Write;
+        Ok(Claim { incoming, class, writes, id })
     }
 
     /// Hands a request in that has waited so long; the error is its final answer already.
     pub fn hand_in(&self, claim: Claim, waited: Duration) -> Result<Pending, Answer> {
-        let Claim { mut incoming, class, id: open } = claim;
+        let Claim { mut incoming, class, id: open, .. } = claim;
         incoming.wait_ms = incoming.wait_ms.saturating_sub(waited.as_millis() as u64);
         let request = self.intake.take(&incoming, class);
         let Some(place) = self.admit.enter() else { return Err(self.refuse()) };
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -1,6 +1,6 @@
 //! One client connection: queries in, answers out in their order.
 
-use super::desk::{Claim, Desk};
+use super::desk::{Claim, Desk, Pending};
 use super::listener::Phase;
 use super::roster::Seated;
 use crate::close_reason::CloseReason;
@@ -51,31 +51,66 @@
     Refuse,
 }
 
-/// What came, and when.
-struct Came {
-    what: Message,
-    at: Instant,
-}
-
-/// A message, taken apart when it comes.
-enum Message {
-    /// A request, its id open, and the memory that it takes.
-    Request(Claim, Option<Place>),
+/// A message, taken apart when it came.
+enum Came {
+    /// A request.
+    Request(Box<Ask>),
     /// A statement that is no request, with its error.
     Malformed(Wire),
-    /// Anything else.
-    Plain(Frontend),
+    /// A request on a connection that is refused.
+    Refused,
+    /// An empty query.
+    Empty,
+    /// The extended protocol, which is not spoken here.
+    Extended,
+    /// The end of a batch of extended messages.
+    Synced,
+    /// Goodbye.
+    Terminate,
+    /// Nothing to answer.
+    Passed,
+}
+
+/// A request: its id is open, and it holds the memory of its message.
+struct Ask {
+    order: Order,
+    progress: Progress,
+    _memory: Option<Place>,
+}
+
+/// What a request's order on its connection hangs on: its key, and whether it writes.
+#[derive(Default)]
+struct Order {
+    key: Option<String>,
+    writes: bool,
+}
+
+impl Order {
+    /// Whether it must not run beside `other`, which came before it: a write, and what is on its key.
+    fn follows(&self, other: &Order) -> bool {
+        self.key.is_some() && self.key == other.key && (self.writes || other.writes)
+    }
+}
+
+enum Progress {
+    /// Handed in, or answered instead.
+    HandedIn(Result<Pending, Answer>),
+    /// It waits since then for those that it follows.
+    Later(Claim, Instant),
 }
 
 struct Session<S> {
     framed: Framed<S, FrontendCodec>,
     desk: Rc<Desk>,
     seated: Seated,
-    /// What came while an earlier query was being answered.
+    manner: Manner,
+    /// What came while an earlier query was being answered; requests run meanwhile, answers keep the order.
     waiting: VecDeque<Came>,
+    /// The order of the request that is answered next.
+    next: Order,
     /// The input is broken: what was taken is answered, then the connection ends.
     broken: Option<PgError>,
-    /// An extended message failed: all up to the next Sync is passed over.
+    /// An extended message came: all up to the next Sync is passed over.
     skipping: bool,
     /// Malformed statements in a row.
     malformed: u32,
@@ -86,9 +121,10 @@
     stream: S, desk: Rc<Desk>, seated: Seated, manner: Manner, mut phase: watch::Receiver<Phase>,
 ) -> CloseReason {
     let framed = Framed::new(stream, FrontendCodec::new(desk.memory()));
-    let waiting = VecDeque::new();
-    let mut s = Session { framed, desk, seated, waiting, broken: None, skipping: false, malformed: 0 };
-    let reason = match s.serve(manner, &mut phase).await {
+    let (waiting, next, broken) = (VecDeque::new(), Order::default(), None);
+    let mut s =
+        Session { framed, desk, seated, manner, waiting, next, broken, skipping: false, malformed: 0 };
+    let reason = match s.serve(&mut phase).await {
         Ok(()) => CloseReason::Terminated,
         Err(reason) => reason,
     };
@@ -129,7 +165,7 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Session<S> {
-    async fn serve(&mut self, manner: Manner, phase: &mut watch::Receiver<Phase>) -> Result<(), CloseReason> {
+    async fn serve(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(), CloseReason> {
         self.start(phase).await?;
         loop {
             let came = match self.waiting.pop_front() {
@@ -139,30 +175,27 @@
                     None => return Err(CloseReason::PeerClosed),
                 },
             };
-            match came.what {
-                Message::Plain(Frontend::Terminate) => return Ok(()),
-                Message::Plain(Frontend::Sync) => {
-                    self.skipping = false;
-                    self.reply([Wire::Ready]).await?;
-                }
-                _ if self.skipping => {}
-                Message::Plain(Frontend::Extended(_)) => {
-                    self.skipping = true;
+            match came {
+                Came::Terminate => return Ok(()),
+                Came::Passed => {}
+                Came::Synced => self.reply([Wire::Ready]).await?,
+                Came::Empty => self.reply([Wire::Empty, Wire::Ready]).await?,
+                Came::Extended => {
                     self.reply([error("0A000", "the extended query protocol is not supported")]).await?;
                 }
-                Message::Plain(Frontend::Query(_)) => self.reply([Wire::Empty, Wire::Ready]).await?,
-                Message::Plain(_) => {}
-                _ if manner == Manner::Refuse => {
+                Came::Refused => {
                     let refused = self.desk.refuse();
                     self.reply([wire(refused, true)]).await?;
                     return Err(CloseReason::EdgeFull);
                 }
-                Message::Request(claim, share) => {
+                Came::Request(ask) => {
                     self.malformed = 0;
-                    self.query(claim, came.at.elapsed()).await?;
-                    drop(share);
+                    self.seated.busy();
+                    let answered = self.query(ask).await;
+                    self.seated.idle();
+                    answered?;
                 }
-                Message::Malformed(error) => {
+                Came::Malformed(error) => {
                     self.malformed += 1;
                     self.reply([error, Wire::Ready]).await?;
                     if self.malformed >= MALFORMED_MOST {
@@ -173,32 +206,56 @@
         }
     }
 
-    /// Takes a message apart. From here on the id of a request is open.
+    /// Takes a message apart when it comes. A request is handed in at once, also behind others, unless one of
+    /// them writes to its key, or it writes to theirs.
     fn came(&mut self, message: Frontend) -> Came {
-        let share = self.framed.codec_mut().share();
-        let what = match message {
-            Frontend::Query(statement) if !statement::is_empty(&statement) => {
-                let claim = statement::parse(&statement).map_err(|problem| {
-                    let wrong = matches!(problem, StatementError::Wrong(_));
-                    error(if wrong { "22023" } else { "42601" }, problem)
-                });
-                let claim = claim.and_then(|incoming| {
-                    self.desk.claim(incoming).map_err(|problem| {
-                        let in_use = problem == IntakeError::IdInUse;
-                        error(if in_use { "42710" } else { "22023" }, problem)
-                    })
-                });
-                match claim {
-                    Ok(claim) => Message::Request(claim, share),
-                    Err(error) => {
-                        self.desk.malformed();
-                        Message::Malformed(error)
-                    }
-                }
+        let memory = self.framed.codec_mut().share();
+        let statement = match message {
+            Frontend::Sync => {
+                self.skipping = false;
+                return Came::Synced;
+            }
+            Frontend::Terminate => return Came::Terminate,
+            _ if self.skipping => return Came::Passed,
+            Frontend::Extended(_) => {
+                self.skipping = true;
+                return Came::Extended;
+            }
+            Frontend::Encryption | Frontend::Cancel | Frontend::Startup | Frontend::Idle => {
+                return Came::Passed;
+            }
+            Frontend::Query(statement) if statement::is_empty(&statement) => return Came::Empty,
+            Frontend::Query(_) if self.manner == Manner::Refuse => return Came::Refused,
+            Frontend::Query(statement) => statement,
+        };
+        let incoming = match statement::parse(&statement) {
+            Ok(incoming) => incoming,
+            Err(problem) => {
+                let wrong = matches!(problem, StatementError::Wrong(_));
+                return self.unread(if wrong { "22023" } else { "42601" }, problem);
+            }
+        };
+        let key = incoming.key.clone();
+        let claim = match self.desk.claim(incoming) {
+            Ok(claim) => claim,
+            Err(problem) => {
+                let in_use = problem == IntakeError::IdInUse;
+                return self.unread(if in_use { "42710" } else { "22023" }, problem);
             }
-            other => Message::Plain(other),
         };
-        Came { what, at: Instant::now() }
+        let order = Order { key, writes: claim.writes() };
+        let before = |came: &Came| matches!(came, Came::Request(ask) if order.follows(&ask.order));
+        let progress = if order.follows(&self.next) || self.waiting.iter().any(before) {
+            Progress::Later(claim, Instant::now())
+        } else {
+            Progress::HandedIn(self.desk.hand_in(claim, Duration::ZERO))
+        };
+        Came::Request(Box::new(Ask { order, progress, _memory: memory }))
+    }
+
+    fn unread(&self, code: &'static str, problem: impl ToString) -> Came {
+        self.desk.malformed();
+        Came::Malformed(error(code, problem))
     }
 
     /// Everything up to the first query.
@@ -256,23 +313,29 @@
     }
 
     /// One request, to its answer. Meanwhile the client may send more, or leave.
-    async fn query(&mut self, claim: Claim, waited: Duration) -> Result<(), CloseReason> {
-        self.seated.busy();
-        let answered = self.answer(claim, waited).await;
-        self.seated.idle();
-        answered
+    async fn query(&mut self, ask: Box<Ask>) -> Result<(), CloseReason> {
+        let Ask { order, progress, _memory } = *ask;
+        self.next = order;
+        let handed_in = match progress {
+            Progress::HandedIn(handed_in) => handed_in,
+            Progress::Later(claim, since) => self.desk.hand_in(claim, since.elapsed()),
+        };
+        let answer = match handed_in {
+            Ok(pending) => self.answer(pending).await?,
+            Err(answer) => answer,
+        };
+        self.next = Order::default();
+        self.reply([wire(answer, false), Wire::Ready]).await?;
+        self.slim();
+        Ok(())
     }
 
-    async fn answer(&mut self, claim: Claim, waited: Duration) -> Result<(), CloseReason> {
-        let mut pending = match self.desk.hand_in(claim, waited) {
-            Ok(pending) => pending,
-            Err(answer) => return self.reply([wire(answer, false), Wire::Ready]).await,
-        };
-        let answer = loop {
+    async fn answer(&mut self, mut pending: Pending) -> Result<Answer, CloseReason> {
+        loop {
             let reads = self.broken.is_none();
             tokio::select! {
                 biased;
-                answer = pending.answer() => break answer,
+                answer = pending.answer() => return Ok(answer),
                 next = self.framed.next(), if reads => match next {
                     None | Some(Err(PgError::Io(_))) => return Err(CloseReason::ClientGone),
                     Some(Ok(Frontend::Terminate)) if self.waiting.is_empty() => {
@@ -290,10 +353,7 @@
                     Some(Err(problem)) => self.broken = Some(problem),
                 },
             }
-        };
-        self.reply([wire(answer, false), Wire::Ready]).await?;
-        self.slim();
-        Ok(())
+        }
     }
 
     /// Writes whole answers.
--- a/src/stages/intake.rs
+++ b/src/stages/intake.rs
@@ -74,6 +74,11 @@
         self.classes.get(&incoming.class).copied().ok_or(IntakeError::UnknownClass)
     }
 
+    /// How fresh a class's data must be, or that it writes.
+    pub fn level(&self, class: ClassId) -> ReadLevel {
+        self.levels.get(class.0).copied().unwrap_or(ReadLevel::Any)
+    }
+
     /// Opens a request's id, from its last byte to its answer: a second request must not run under it.
     pub fn open(&self, incoming: &Incoming) -> Result<OpenId, IntakeError> {
         let id = incoming.id.clone();
@@ -85,7 +90,7 @@
 
     /// The request as the decisions know it, under an id of our own: clients' ids need not be fresh.
     pub fn take(&self, incoming: &Incoming, class: ClassId) -> Request {
-        let level = self.levels.get(class.0).copied().unwrap_or(ReadLevel::Any);
+        let level = self.level(class);
         let sessions = matches!(level, ReadLevel::Write | ReadLevel::Session);
         let now = self.clock.now().0;
         // An age of 0 would mean that there was no write at all.
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -173,6 +173,42 @@
     tokio::join!(serve_first, serve_second, play);
 }
 
+// Guards against requests that wait behind others for nothing, and against answers or writes out of order.
+#[tokio::test(start_paused = true)]
+async fn requests_run_side_by_side_but_writes_to_a_key_and_answers_keep_their_order() {
+    let (mut near, mut events, session, _tell) = session();
+    let ask = |id: &str, class: &str| {
+        let text = format!("/* id={id},c={class},d=900,cluster=1 */ SELECT val FROM s WHERE uid = 'a'\0");
+        typed(b'Q', text.as_bytes())
+    };
+    let play = async {
+        let asks = [STARTUP, &ask("1", "list"), &ask("2", "own"), &ask("3", "order")].concat();
+        near.write_all(&asks).await.expect("written");
+        let mut taken = Vec::new();
+        for _ in 0..2 {
+            let Some(Input::Taken(next)) = events.recv().await else { panic!("nothing was taken") };
+            taken.push(next);
+        }
+        sleep(Duration::from_millis(100)).await;
+        assert!(events.try_recv().is_err(), "the third writes to the key of the others");
+        for (taken, row) in taken.into_iter().zip(["row 1", "row 2"]).rev() {
+            taken.reply.send(Answer::Served(row.as_bytes().into())).expect("still owed");
+            sleep(Duration::from_millis(100)).await;
+        }
+        let Some(Input::Taken(third)) = events.recv().await else { panic!("nothing was taken") };
+        assert_eq!(third.request.left.0, 700_000, "its time has run since it came");
+        third.reply.send(Answer::Served(b"row 3".as_slice().into())).expect("still owed");
+        near.write_all(b"X\0\0\0\x04").await.expect("written");
+        let mut got = Vec::new();
+        near.read_to_end(&mut got).await.expect("read");
+        let got = String::from_utf8_lossy(&got).into_owned();
+        let rows: Vec<&str> = got.split("row ").skip(1).map(|r| &r[..1]).collect();
+        assert_eq!(rows, ["1", "2", "3"]);
+    };
+    let (reason, ()) = tokio::join!(session, play);
+    assert_eq!(reason, CloseReason::Terminated);
+}
+
 // Guards against messages that together take more memory than there is.
 #[tokio::test(start_paused = true)]
 async fn without_memory_for_its_message_a_client_is_refused() {
