Drop what is kept of gone members, sessions, groups and answered requests

Examined, one by one, what is kept by name or id: commits by session (up to 50,000 a group, though carried tokens never read them), names and slots of members (for good), groups (one for each that a client names), and a time limit for each request until its client's wait would be over, be it ten minutes after its answer.

Commits are remembered only where tokens are; a group goes with its last member and request; members' names and slots go when the decisions forget the member; a time limit goes with the answer.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -526,7 +526,7 @@
         let r = Held {
             class,
             group,
-            session,
+            session: session.filter(|_| self.set.tokens == Tokens::Remembered),
             arrived: now,
             aim_at: now + aim,
             deadline: now + left,
@@ -572,18 +572,17 @@
                     return Some(m);
                 }
                 // Only what writes and fresh reads leave there, or expired waits end in one wave.
+                let g = self.groups.get(&r.group)?;
                 if (self.now >= r.fall_at || self.hopeless(r))
-                    && self.groups[&r.group].first_held == 0
+                    && g.first_held == 0
                     && let Some(p) = self.trusted(r.group).filter(|p| room(*p))
                 {
                     return Some(p);
                 }
                 // Health ruling out everyone is more likely a wrong view than a dead fleet.
                 let well = |id: &MemberId| self.members.get(id).is_some_and(well);
-                if self.now < r.fall_at || self.groups[&r.group].members.iter().any(well) {
-                    return None;
-                }
-                self.draw(r, false)
+                let lost = self.now >= r.fall_at && !g.members.iter().any(well);
+                if lost { self.draw(r, false) } else { None }
             }
         }
     }
@@ -621,7 +620,7 @@
                 self.give_up(id, out);
             } else if failed < TRIES || self.requests.get(&id).is_some_and(|r| !self.winnable(r)) {
                 self.place(id, out);
-                failed += usize::from(self.groups[&group].held.contains(&id));
+                failed += usize::from(self.groups.get(&group).is_some_and(|g| g.held.contains(&id)));
             }
         }
         if self.set.check == ReplicaCheck::None {
@@ -901,8 +900,8 @@
     /// Drops a request that is over, calling off what is still out for it.
     fn forget(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.remove(&id) else { return };
-        let g = self.groups.entry(r.group).or_default();
-        g.held.remove(&id);
+        self.groups.entry(r.group).and_modify(|g| _ = g.held.remove(&id));
+        self.groups.retain(|_, g| g.is_used());
         for a in r.open.iter().filter(|a| !a.cancelled && self.set.limits.cancel) {
             out.push(Action::Cancel { id, attempt: a.number });
         }
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -112,6 +112,11 @@
 }
 
 impl Names {
+    /// Drops the names of members that are not to be kept.
+    pub fn retain(&mut self, keep: impl Fn(MemberId) -> bool) {
+        self.members.retain(|n| keep(MemberId(n as u32)));
+    }
+
     /// An entry for the decisions, and where the member listens.
     pub fn entry(&mut self, server: Server) -> (ListEntry, SocketAddr) {
         let entry = ListEntry {
--- a/src/members/pool.rs
+++ b/src/members/pool.rs
@@ -56,6 +56,19 @@
         end(moved, CloseReason::GivenBack);
     }
 
+    /// Drops the members that are not to be kept, with their idle connections.
+    pub fn retain(&self, keep: impl Fn(MemberId) -> bool) {
+        let mut dropped = Vec::new();
+        self.0.slots.borrow_mut().retain(|member, slot| {
+            let kept = keep(*member);
+            if !kept {
+                dropped.append(&mut slot.idle);
+            }
+            kept
+        });
+        end(dropped, CloseReason::GivenBack);
+    }
+
     /// Where a member listens.
     pub fn addr(&self, member: MemberId) -> Option<SocketAddr> {
         self.0.slots.borrow().get(&member)?.addr
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -96,20 +96,30 @@
     if v.is_finite() && v >= 0.0 { Ok(Span(v as u64)) } else { Err(FormError::Wrong(field.to_string())) }
 }
 
-/// Numbers for names, in the order of their first appearance; a name keeps its number for good.
+/// Numbers for names, in the order of their first appearance; a name keeps its number until it is dropped, and
+/// no number is used twice.
 #[derive(Default)]
-pub struct Names(BTreeMap<String, usize>);
+pub struct Names {
+    numbers: BTreeMap<String, usize>,
+    next: usize,
+}
 
 impl Names {
     /// The number of a name, new or known.
     pub fn number(&mut self, name: &str) -> usize {
-        if let Some(n) = self.0.get(name) {
+        if let Some(n) = self.numbers.get(name) {
             return *n;
         }
-        let next = self.0.len();
-        self.0.insert(name.to_string(), next);
+        let next = self.next;
+        self.next += 1;
+        self.numbers.insert(name.to_string(), next);
         next
     }
+
+    /// Drops the names whose numbers are not to be kept.
+    pub fn retain(&mut self, keep: impl Fn(usize) -> bool) {
+        self.numbers.retain(|_, n| keep(*n));
+    }
 }
 
 /// The settings in the form operators write them.
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -31,7 +31,6 @@
     names: Names,
     subscribe: Rc<Notify>,
     timers: BTreeSet<(Time, u64)>,
-    due: BTreeSet<(Instant, RequestId)>,
     actions: Vec<Action>,
 }
 
@@ -42,15 +41,15 @@
         router: Router, clock: Clock, inbox: mpsc::UnboundedReceiver<Input>, sender: Sender, relay: Relay,
         pool: Pool, names: Names, subscribe: Rc<Notify>,
     ) -> Route {
-        let (timers, due, actions) = (BTreeSet::new(), BTreeSet::new(), Vec::new());
-        Route { router, clock, inbox, sender, relay, pool, names, subscribe, timers, due, actions }
+        let (timers, actions) = (BTreeSet::new(), Vec::new());
+        Route { router, clock, inbox, sender, relay, pool, names, subscribe, timers, actions }
     }
 
     /// Runs until nobody can send events any more.
     pub async fn run(mut self) {
         loop {
             let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
-            let wake = timer.into_iter().chain(self.due.first().map(|d| d.0)).min();
+            let wake = timer.into_iter().chain(self.relay.first_due().map(|d| d.0)).min();
             let input = tokio::select! {
                 biased;
                 input = self.inbox.recv() => input,
@@ -72,13 +71,10 @@
             self.handle(Event::Timer { token });
         }
         let now = Instant::now();
-        while let Some((at, id)) = self.due.first().copied().filter(|d| d.0 <= now) {
-            self.due.remove(&(at, id));
-            if self.relay.answer(&id, Answer::Failed) {
-                error!("a request was overdue");
-                self.sender.over(id);
-                self.handle(Event::Lapsed { id });
-            }
+        while let Some((_, id)) = self.relay.first_due().filter(|d| d.0 <= now) {
+            error!("a request was overdue");
+            self.finish(id, Answer::Failed);
+            self.handle(Event::Lapsed { id });
         }
     }
 
@@ -86,9 +82,8 @@
         match input {
             Input::Taken(taken) => {
                 let Taken { request, payload, deadline, reply } = *taken;
-                self.relay.owe(request.id, reply);
+                self.relay.owe(request.id, reply, deadline + OVERDUE);
                 self.sender.keep(request.id, payload, deadline);
-                self.due.insert((deadline + OVERDUE, request.id));
                 self.handle(Event::Request(request));
             }
             Input::Gone(id) => {
@@ -113,18 +108,26 @@
             Input::List(News::Failed) => self.handle(Event::List(ListUpdate::Failed)),
             Input::List(News::Known(listing)) => {
                 let entries = self.entries(listing);
-                self.handle(Event::List(ListUpdate::Cached(entries)));
+                self.list(ListUpdate::Cached(entries));
             }
             Input::List(News::Told(listing)) => {
                 let full = listing.full;
                 info!("list version {} with {} entries, full={full}", listing.version, listing.servers.len());
                 let entries = self.entries(listing);
                 let update = if full { ListUpdate::Full(entries) } else { ListUpdate::Changes(entries) };
-                self.handle(Event::List(update));
+                self.list(update);
             }
         }
     }
 
+    /// What the decisions forget of the members, everybody forgets.
+    fn list(&mut self, update: ListUpdate) {
+        self.handle(Event::List(update));
+        let router = &self.router;
+        self.names.retain(|member| router.knows(member));
+        self.pool.retain(|member| router.knows(member));
+    }
+
     fn entries(&mut self, listing: Listing) -> Arc<Vec<ListEntry>> {
         let (names, pool) = (&mut self.names, &self.pool);
         let entry = |server| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,13 @@
     pub(crate) first_held: usize,
 }
 
+impl Group {
+    /// Whether it has members, holds requests, or remembers sessions: a group that was only named has not.
+    pub(crate) fn is_used(&self) -> bool {
+        !(self.members.is_empty() && self.held.is_empty() && self.sessions.by_key.is_empty())
+    }
+}
+
 /// One instance of the decisions: everything a driver knows.
 pub struct Router {
     pub(crate) set: Settings,
@@ -107,6 +114,17 @@
 }
 
 impl Router {
+    /// Whether anything is kept of a member: once not, its driver may forget it, too.
+    pub fn knows(&self, member: MemberId) -> bool {
+        self.members.contains_key(&member)
+    }
+
+    /// How many members, groups, requests and sessions are kept.
+    pub fn records(&self) -> usize {
+        let sessions: usize = self.groups.values().map(|g| g.sessions.by_key.len()).sum();
+        self.members.len() + self.groups.len() + self.requests.len() + sessions
+    }
+
     /// An empty record.
     pub(crate) fn blank(set: Settings, rng: fastrand::Rng, now: Us) -> Router {
         Router {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -5,7 +5,8 @@
 mod peer;
 
 use futures_util::FutureExt;
-use linenhill::api::{MemberId, Outcome, Time};
+use linenhill::api::{MemberId, Outcome, RequestId, Time};
+use linenhill::choice::Router;
 use linenhill::clients::desk::Desk;
 use linenhill::clients::listener::Phase;
 use linenhill::clients::roster::{Roster, Seated};
@@ -14,19 +15,22 @@
 use linenhill::close_reason::CloseReason;
 use linenhill::config::{Config, Reading, Variables};
 use linenhill::counters::Counters;
-use linenhill::discovery::{self, list::News};
+use linenhill::discovery::{self, list, list::News};
 use linenhill::members::link::Link;
 use linenhill::members::pool::Pool;
 use linenhill::stages::admit::Admit;
 use linenhill::stages::book::Book;
 use linenhill::stages::intake::Intake;
+use linenhill::stages::relay::Relay;
+use linenhill::stages::route::Route;
+use linenhill::stages::send::Sender;
 use linenhill::stages::{Answer, Input};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::sleep;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -411,3 +415,67 @@
         assert_eq!(reply_to(told(report)).await, (Outcome::Ok, None, true));
     }
 }
+
+// Guards against a place kept for every member that ever was, and against a number that comes to mean another.
+#[tokio::test(start_paused = true)]
+async fn what_the_decisions_forget_of_members_everybody_forgets() {
+    let text = include_str!("../examples/config.json");
+    let config = Config::parse(text, Path::new("config.json"), Variables::default(), Reading::Start)
+        .expect("a configuration");
+    let counters = Rc::new(Counters::default());
+    let second = Duration::from_secs(1);
+    let pool = Pool::new(9, second, second, counters.clone());
+    let (inbox, events) = mpsc::unbounded_channel();
+    let (clock, book) = (Clock::start(), Book::new(counters));
+    let sender = Sender::new(pool.clone(), inbox.clone(), book.clone(), 6);
+    let router = Router::new(config.site.settings, 42, clock.now());
+    let (relay, asked) = (Relay::new(book), Rc::new(Notify::new()));
+    let route = Route::new(router, clock, events, sender, relay, pool.clone(), config.names, asked);
+    let list = |version: u64, id: &str| {
+        let line = format!(
+            r#"{{"version":{version},"full":true,"servers":[{{"id":"{id}","addr":"127.0.0.1:1",
+                "zone":"a","kind":"m2","cell":1,"state":"in_service"}}]}}"#
+        );
+        let told = list::decode(line.as_bytes()).expect("a list");
+        assert!(inbox.send(Input::List(News::Told(told))).is_ok());
+    };
+    let play = async {
+        for (version, id) in [(1, "old"), (2, "new")] {
+            list(version, id);
+            sleep(second).await;
+        }
+        assert!(pool.addr(MemberId(0)).is_some(), "it may come back");
+        sleep(60 * second).await;
+        list(3, "new");
+        sleep(second).await;
+        assert!(pool.addr(MemberId(0)).is_none() && pool.addr(MemberId(1)).is_some());
+        list(4, "newest");
+        sleep(second).await;
+        assert!(pool.addr(MemberId(0)).is_none() && pool.addr(MemberId(2)).is_some());
+    };
+    let run = async {
+        tokio::select! {
+            () = route.run() => unreachable!(),
+            () = play => {}
+        }
+    };
+    tokio::task::LocalSet::new().run_until(run).await;
+}
+
+// Guards against a time limit kept long after its request is over, for a client that said it waits long.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_due_once_it_is_answered() {
+    let mut relay = Relay::new(Book::new(Rc::new(Counters::default())));
+    let due = tokio::time::Instant::now() + Duration::from_secs(600);
+    let ids = [RequestId([1; 36]), RequestId([2; 36])];
+    let replies = ids.map(|id| {
+        let (reply, answer) = tokio::sync::oneshot::channel();
+        relay.owe(id, reply, due);
+        answer
+    });
+    assert_eq!(relay.first_due(), Some((due, ids[0])));
+    assert!(relay.answer(&ids[0], Answer::Failed) && relay.lapse(&ids[1]));
+    assert!(!relay.answer(&ids[0], Answer::Failed), "one answer only");
+    assert_eq!(relay.first_due(), None);
+    drop(replies);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -465,3 +465,32 @@
     let id = rig.ask(SESSION, 2_000, Some(5));
     assert!(!rig.sends(id).contains(&2), "nobody has told that it applied {commit}");
 }
+
+// Guards against memory that grows with every group, session or member that is named once.
+#[test]
+fn what_is_kept_is_dropped_with_its_subject() {
+    let brought = Settings { tokens: Tokens::Carried, ..settings() };
+    let mut rig = Rig::new(brought);
+    let before = rig.router.records();
+    for n in 0..100u8 {
+        rig.write(u64::from(n), 1);
+        let unknown = Request {
+            id: RequestId([128 + n; 36]),
+            class: ANY,
+            left: Span(5 * MS),
+            tenant: None,
+            token_age: None,
+            group: GroupId(1_000 + u32::from(n)),
+            session: None,
+        };
+        rig.event(Event::Request(unknown));
+        rig.wait(10);
+    }
+    rig.wait(1_000);
+    assert_eq!(rig.router.records(), before);
+    (1..=3).for_each(|member| rig.report(member, rig.now, Role::Replica));
+    rig.list((4..=6).map(entry).collect());
+    rig.wait(61_000);
+    rig.list((4..=6).map(entry).collect());
+    assert!(!rig.router.knows(MemberId(1)) && rig.router.knows(MemberId(4)));
+}
