--- a/src/choice.rs
+++ b/src/choice.rs
@@ -329,9 +329,7 @@
         if primary {
             self.learn(id, None, Some(Role::Primary), (position, 0));
         }
-        if let Some(group) = group {
-            self.pump(group, out);
-        }
+        group.into_iter().for_each(|g| self.pump(g, out));
     }
 
     fn probe(&mut self, id: MemberId, out: &mut Vec<Action>) {
@@ -680,7 +678,7 @@
                     let extra = end.latency.0 as f64 / self.means[class].max(1.0) - 1.0;
                     self.link_cost += LINK_COST.0 * (extra.clamp(0.0, LINK_COST.1) - self.link_cost);
                 }
-                (m.refused, m.linked_at) = (0, Some(now));
+                (m.refused, m.linked_at, m.passed) = (0, Some(now), m.passed.max(sent));
                 if now < self.squeezed_until && m.open.is_empty() {
                     m.linked_at = None;
                     out.push(Action::Close { member });
@@ -703,7 +701,9 @@
             sessions.note(session, commit);
             sessions.drop_past(SESSIONS_MOST);
         }
-        let unanswered = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
+        let passed = self.members.get(&member).is_some_and(|m| m.passed > sent + end.latency.0 * 3 / 4);
+        let given_up = outcome == Cancelled && !closed && passed;
+        let unanswered = given_up || matches!(outcome, Outcome::TimedOut | Outcome::Reset);
         if answered || unanswered {
             self.lost += SMOOTH_LOST * (f64::from(u8::from(unanswered)) - self.lost);
         }
@@ -756,8 +756,7 @@
         m.refused += 1;
         self.link_cost += LINK_COST.0 * (LINK_COST.1 - self.link_cost);
         if m.refused > REFUSALS || now > m.heard.max(m.reported) + ALIVE {
-            self.fall_ill(member, true);
-            return;
+            return self.fall_ill(member, true);
         }
         m.rest_until = now + ((TICK << m.refused) as f64 * chance) as Us;
         // Turned down at once, not timed out on a slow handshake: then open connections are worth keeping.
@@ -816,7 +815,7 @@
         }
     }
 
-    /// A read far later than usual gets a second copy where allowed and paid for; else it is called off and
+    /// What is far later than usual gets a second copy where allowed and paid for; else it is called off and
     /// sent anew, sooner the more stay unanswered: lost answers, hangs. Harm: long work is begun twice.
     fn rescue(&mut self, out: &mut Vec<Action>) {
         let (now, limits) = (self.now, &self.set.limits);
@@ -824,13 +823,17 @@
             (MOVE_AFTER.1 - (MOVE_AFTER.1 - MOVE_AFTER.0) * self.lost / LOST_MUCH).max(MOVE_AFTER.0);
         let late = |(id, r): (&RequestId, &Held)| {
             let a = r.open.first().filter(|a| r.open.len() == 1 && !a.cancelled)?;
-            let waited = (now - a.sent) as f64 / self.means[r.class].max(1.0);
-            let safe = self.set.classes[r.class].effect == Effect::Safe;
-            let useful = now + (self.means[r.class] * 0.7) as Us <= r.aim_at;
-            let again = r.attempts + 1 < limits.max_attempts && !self.first_on_primary(r.class);
-            let lone = |m: &Member| m.ill.as_ref().is_some_and(|i| a.sent < i.since);
-            let lone = self.members.get(&a.member).is_some_and(lone);
-            let waited = if lone { f64::INFINITY } else { waited };
+            let (class, mean) = (&self.set.classes[r.class], self.means[r.class].max(1.0));
+            let (m, primary) = (self.members.get(&a.member)?, self.first_on_primary(r.class));
+            let safe = class.effect != Effect::Unsafe && self.may_repeat(*id);
+            let by = if class.late_worth > 0.0 { r.deadline } else { r.aim_at };
+            let useful = now + (mean * 0.7) as Us <= by;
+            // A primary that answers what came far later is not slow: this answer is lost. It gets twice as long.
+            let again = !primary || m.passed > a.sent + (now - a.sent) * 3 / 4;
+            let again = again && r.attempts + 1 < limits.max_attempts;
+            let lone = !primary && m.ill.as_ref().is_some_and(|i| a.sent < i.since);
+            let usual = mean * if primary { 2.0 } else { 1.0 };
+            let waited = if lone { f64::INFINITY } else { (now - a.sent) as f64 / usual };
             (safe && (useful || lone) && again && waited > COPY_AFTER.min(patient)).then_some((*id, waited))
         };
         let ids: Vec<(RequestId, f64)> = self.requests.iter().filter_map(late).collect();
@@ -883,9 +886,7 @@
 
     /// Clients that leave before their deadline show how long they wait. Harm: a few hasty ones hurry all.
     fn on_lapsed(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(r) = self.requests.get(&id)
-            && self.now + MARGIN < r.deadline
-        {
+        if let Some(r) = self.requests.get(&id).filter(|r| self.now + MARGIN < r.deadline) {
             let waited = (self.now - r.arrived) as f64;
             self.patience[r.class] += SMOOTH_MEMBER * (waited * 0.8 - self.patience[r.class]).min(0.0);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -65,6 +65,8 @@
     pub(crate) rest_until: Us,
     pub(crate) refused: u32,
     pub(crate) open: BTreeMap<(RequestId, u32), (Us, usize, Option<SessionKey>)>,
+    /// The latest send that was answered.
+    pub(crate) passed: Us,
     pub(crate) linked_at: Option<Us>,
     pub(crate) heard: Us,
     pub(crate) ill: Option<Ill>,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -494,3 +494,31 @@
     rig.list((4..=6).map(entry).collect());
     assert!(!rig.router.knows(MemberId(1)) && rig.router.knows(MemberId(4)));
 }
+
+// Guards against a write that waits to its deadline for an answer that is lost, and against a repeat of one
+// whose primary is only slow, or that must not be repeated.
+#[test]
+fn a_keyed_write_is_sent_anew_once_later_ones_are_answered() {
+    let keyed = Effect::Keyed { scope: RepeatScope::Group, window: Span(5_000 * MS) };
+    for (effect, answered, again) in
+        [(keyed, true, true), (keyed, false, false), (Effect::Unsafe, true, false)]
+    {
+        let mut set = settings();
+        (set.classes[0].effect, set.classes[0].aim) = (effect, Span(200 * MS));
+        let mut rig = Rig::new(set);
+        let first = rig.ask(WRITE, 2_000, None);
+        for _ in 0..50 {
+            rig.wait(20);
+            let next = rig.ask(WRITE, 2_000, None);
+            if answered {
+                rig.answer(next, 0, 1, Outcome::Ok, 20, Some(rig.now), Some(Role::Primary));
+            }
+        }
+        let cancel = Action::Cancel { id: first, attempt: 0 };
+        assert_eq!(rig.out.contains(&cancel), again, "{effect:?}, answered={answered}");
+        if again {
+            rig.answer(first, 0, 1, Outcome::Cancelled, 1_000, None, None);
+            assert_eq!(rig.sends(first), [1, 1]);
+        }
+    }
+}
