Give clients and members the unused descriptors, and end a silent watch after 3 s

Examined: the reserve of 32 covers about a dozen descriptors of our own. A silent watch is believed for 5 s, and what discovery tells counts as told after 6 s at the latest.

The reserve is 20; clients keep 60% of the rest, members get 34% (80 instead of 71 of 256). A call is given up after 1.5 s, as discovery's own time-out is 1 s, a watch after 3 s of silence, also right after its head.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -828,7 +828,7 @@
             let safe = class.effect != Effect::Unsafe && self.may_repeat(*id);
             let by = if class.late_worth > 0.0 { r.deadline } else { r.aim_at };
             let useful = now + (mean * 0.7) as Us <= by;
-            // A primary that answers what came far later is not slow: this answer is lost. It gets twice as long.
+            // A primary that answers what came far later is not slow: this answer is lost.
             let again = !primary || m.passed > a.sent + (now - a.sent) * 3 / 4;
             let again = again && r.attempts + 1 < limits.max_attempts;
             let lone = !primary && m.ill.as_ref().is_some_and(|i| a.sent < i.since);
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -20,9 +20,9 @@
 use tokio_util::codec::FramedRead;
 
 /// A call that has not been answered by then has failed; discovery gives up on one sooner.
-const ANSWER_WITHIN: Duration = Duration::from_secs(3);
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_500);
 /// A watch says something every 2 s, if only an empty line: silent for this long, it is dead.
-const SILENT_AFTER: Duration = Duration::from_secs(5);
+const SILENT_AFTER: Duration = Duration::from_secs(3);
 
 /// Watches whenever it is asked to, until the watch fails; then says so and waits to be asked again. When
 /// discovery moves, a new watch begins there at once, from the version known.
@@ -91,7 +91,11 @@
                 warn!("discovery: {problem}");
                 return CloseReason::Protocol;
             }
-            Ok(Some(Ok(Piece::Head(200)))) => continue,
+            Ok(Some(Ok(Piece::Head(200)))) => {
+                // With nothing to tell, the first line is an empty one.
+                patience = SILENT_AFTER;
+                continue;
+            }
             Ok(Some(Ok(Piece::Head(status)))) => {
                 warn!("discovery answered {status}");
                 return CloseReason::Status;
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -28,11 +28,12 @@
 use tokio::time::{sleep, timeout};
 
 /// Descriptors kept for what is neither a client nor a member: the listener, discovery, the runtime, the log.
-const OWN: usize = 32;
-/// Of the others: places for clients that are served, for those refused at the edge, and for members.
+const OWN: usize = 20;
+/// Of the others: places for clients that are served, for those refused at the edge, and for members. Requests
+/// come over a third of the descriptors at most, so that as many attempts may be out at once.
 const SERVED_PART: f64 = 0.60;
-const REFUSED_PART: f64 = 0.06;
-const MEMBERS_PART: f64 = 0.32;
+const REFUSED_PART: f64 = 0.05;
+const MEMBERS_PART: f64 = 0.34;
 /// Of the memory, the part for what clients have sent and was not answered yet.
 const MESSAGES_PART: usize = 4;
 /// After being told to stop, connections still come for this long and are served.
