--- a/src/clients/desk.rs
+++ b/src/clients/desk.rs
@@ -2,15 +2,15 @@
 
 use crate::api::{ClassId, ReadLevel, RequestId, Span};
 use crate::stages::admit::{Admit, Place};
-use crate::stages::book::Book;
+use crate::stages::book::{Book, Edge};
 use crate::stages::intake::{Intake, IntakeError, OpenId};
 use crate::stages::{Answer, Incoming, Input, Taken};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-/// Advice to clients that are refused at the edge.
-const COME_BACK: Span = Span(250_000);
+/// Advice to clients that are refused for want of memory or of room among the requests held.
+pub const COME_BACK: Span = Span(250_000);
 
 /// The desk.
 pub struct Desk {
@@ -72,9 +72,10 @@
     }
 
     /// Refuses a request at the edge.
-    pub fn refuse(&self) -> Answer {
-        let answer = Answer::Refused { retry_after: Some(COME_BACK) };
+    pub fn refuse(&self, edge: Edge, after: Span) -> Answer {
+        let answer = Answer::Refused { retry_after: Some(after) };
         self.book.taken();
+        self.book.refused_at(edge);
         self.book.answered(&answer);
         answer
     }
@@ -106,7 +107,7 @@
         let Claim { mut incoming, class, id: open, .. } = claim;
         incoming.wait_ms = incoming.wait_ms.saturating_sub(waited.as_millis() as u64);
         let request = self.intake.take(&incoming, class);
-        let Some(place) = self.admit.enter() else { return Err(self.refuse()) };
+        let Some(place) = self.admit.enter() else { return Err(self.refuse(Edge::Held, COME_BACK)) };
         self.book.taken();
         let (reply, answer) = oneshot::channel();
         let deadline = Instant::now() + Duration::from_micros(request.left.0);
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -1,14 +1,16 @@
 //! One client connection: queries in, answers out in their order.
 
-use super::desk::{Claim, Desk, Pending};
+use super::desk::{COME_BACK, Claim, Desk, Pending};
+use super::doorway::{Manner, Seated};
 use super::listener::Phase;
-use super::roster::Seated;
+use crate::api::Span;
 use crate::close_reason::CloseReason;
 use crate::pg::PgError;
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
 use crate::pg::statement::{self, StatementError};
 use crate::stages::Answer;
 use crate::stages::admit::Place;
+use crate::stages::book::Edge;
 use crate::stages::intake::IntakeError;
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
@@ -42,23 +44,14 @@
 /// A buffer that grew past this is given back after the answer.
 const BUFFER_KEPT: usize = 32 * 1024;
 
-/// What a connection may expect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Manner {
-    /// Its queries are served.
-    Serve,
-    /// Its first query is refused, and it ends.
-    Refuse,
-}
-
 /// A message, taken apart when it came.
 enum Came {
     /// A request.
     Request(Box<Ask>),
     /// A statement that is no request, with its error.
     Malformed(Wire),
-    /// A request on a connection that is refused.
-    Refused,
+    /// A request on a connection that is refused, with the time to come back.
+    Refused(Span),
     /// An empty query.
     Empty,
     /// The extended protocol, which is not spoken here.
@@ -103,7 +96,6 @@
     framed: Framed<S, FrontendCodec>,
     desk: Rc<Desk>,
     seated: Seated,
-    manner: Manner,
     /// What came while an earlier query was being answered; requests run meanwhile, answers keep the order.
     waiting: VecDeque<Came>,
     /// The order of the request that is answered next.
@@ -118,18 +110,18 @@
 
 /// Serves a connection to its end, and says why it ended.
 pub async fn run<S: AsyncRead + AsyncWrite + Unpin>(
-    stream: S, desk: Rc<Desk>, seated: Seated, manner: Manner, mut phase: watch::Receiver<Phase>,
+    stream: S, desk: Rc<Desk>, seated: Seated, mut phase: watch::Receiver<Phase>,
 ) -> CloseReason {
     let framed = Framed::new(stream, FrontendCodec::new(desk.memory()));
     let (waiting, next, broken) = (VecDeque::new(), Order::default(), None);
-    let mut s =
-        Session { framed, desk, seated, manner, waiting, next, broken, skipping: false, malformed: 0 };
+    let mut s = Session { framed, desk, seated, waiting, next, broken, skipping: false, malformed: 0 };
     let reason = match s.serve(&mut phase).await {
         Ok(()) => CloseReason::Terminated,
         Err(reason) => reason,
     };
     if matches!(reason, CloseReason::Protocol | CloseReason::PipelineFull | CloseReason::EdgeFull) {
-        s.seated.idle();
+        // What lingers counts on nothing but its last answer being read.
+        s.seated.started();
         s.linger().await;
     }
     reason
@@ -183,8 +175,8 @@
                 Came::Extended => {
                     self.reply([error("0A000", "the extended query protocol is not supported")]).await?;
                 }
-                Came::Refused => {
-                    let refused = self.desk.refuse();
+                Came::Refused(after) => {
+                    let refused = self.desk.refuse(Edge::Door, after);
                     self.reply([wire(refused, true)]).await?;
                     return Err(CloseReason::EdgeFull);
                 }
@@ -225,8 +217,10 @@
                 return Came::Passed;
             }
             Frontend::Query(statement) if statement::is_empty(&statement) => return Came::Empty,
-            Frontend::Query(_) if self.manner == Manner::Refuse => return Came::Refused,
-            Frontend::Query(statement) => statement,
+            Frontend::Query(statement) => match self.seated.manner() {
+                Manner::Serve => statement,
+                Manner::Refuse(after) => return Came::Refused(after),
+            },
         };
         let incoming = match statement::parse(&statement) {
             Ok(incoming) => incoming,
@@ -268,7 +262,7 @@
                 Some(Frontend::Encryption) => self.reply([Wire::NoEncryption]).await?,
                 Some(Frontend::Cancel) => return Err(CloseReason::CancelRequest),
                 Some(_) => {
-                    self.seated.idle();
+                    self.seated.started();
                     return self.reply([Wire::Welcome, Wire::Ready]).await;
                 }
             }
@@ -305,7 +299,7 @@
         let reason = io_reason(&problem);
         let answer = match problem {
             PgError::Io(_) => return reason,
-            PgError::Memory(_) => wire(self.desk.refuse(), true),
+            PgError::Memory(_) => wire(self.desk.refuse(Edge::Memory, COME_BACK), true),
             _ => fatal("08P01", problem),
         };
         let _ = self.reply([answer]).await;
--- a/src/close_reason.rs
+++ b/src/close_reason.rs
@@ -22,6 +22,11 @@
             $($(#[$doc])* $name,)*
         }
 
+        impl CloseReason {
+            /// All of them, in the order of their declaration.
+            pub const ALL: &[CloseReason] = &[$(CloseReason::$name),*];
+        }
+
         impl fmt::Display for CloseReason {
             fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
                 f.write_str(match self { $(CloseReason::$name => $code,)* })
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,5 +1,6 @@
 //! Counters of what the proxy takes in, sends and answers.
 
+use crate::close_reason::CloseReason;
 use std::cell::Cell;
 use std::fmt;
 
@@ -19,19 +20,51 @@
     }
 }
 
+/// Connections by the reason for which they ended; printed as `ended_CODE=count` pairs of those seen.
+#[derive(Default)]
+pub struct Ends([Counter; CloseReason::ALL.len()]);
+
+impl Ends {
+    /// Counts one more for this reason.
+    pub fn add(&self, reason: CloseReason) {
+        self.0[reason as usize].add();
+    }
+
+    /// How many ended for this reason.
+    pub fn get(&self, reason: CloseReason) -> u64 {
+        self.0[reason as usize].get()
+    }
+
+    /// How many ended.
+    pub fn sum(&self) -> u64 {
+        self.0.iter().map(Counter::get).sum()
+    }
+}
+
+impl fmt::Display for Ends {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let seen = CloseReason::ALL.iter().map(|r| (r, self.get(*r))).filter(|(_, count)| *count > 0);
+        seen.into_iter().try_for_each(|(reason, count)| {
+            write!(f, " ended_{}={count}", reason.to_string().replace('-', "_"))
+        })
+    }
+}
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
         /// All of them; printed as `name=count` pairs.
         #[derive(Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Counter,)*
+            /// Client connections by the reason for which they ended.
+            pub ended: Ends,
         }
 
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
                 let pairs = [$((stringify!($name), self.$name.get())),*];
                 let text: Vec<String> = pairs.iter().map(|(n, c)| format!("{n}={c}")).collect();
-                f.write_str(&text.join(" "))
+                write!(f, "{}{}", text.join(" "), self.ended)
             }
         }
     };
@@ -74,6 +107,12 @@
     cancelled,
     /// Attempts never sent.
     ignored,
+    /// Of those refused: there was no place at the door.
+    refused_door,
+    /// Of those refused: too many requests were held.
+    refused_held,
+    /// Of those refused: no memory was left for the message.
+    refused_memory,
     /// Client connections accepted.
     clients,
     /// Member connections opened.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod counters;
 pub mod discovery;
+pub mod door;
 pub mod members;
 pub mod pg;
 pub mod proxy;
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -2,12 +2,14 @@
 
 use crate::choice::Router;
 use crate::clients::desk::Desk;
-use crate::clients::listener::{self, Phase, Room};
+use crate::clients::doorway::Doorway;
+use crate::clients::listener::{self, Phase};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::discovery;
 use crate::discovery::list::News;
+use crate::door::Bounds;
 use crate::members::pool::Pool;
 use crate::stages::Input;
 use crate::stages::admit::Admit;
@@ -34,6 +36,10 @@
 const SERVED_PART: f64 = 0.60;
 const REFUSED_PART: f64 = 0.05;
 const MEMBERS_PART: f64 = 0.34;
+/// Of all descriptors, the part that the platform's clients may hold for requests: one in so many.
+const REQUESTS_PART: usize = 3;
+/// Of the program's own descriptors, those that a newcomer may take before whoever makes room for it has left.
+const LEAVING: usize = 6;
 /// Of the memory, the part for what clients have sent and was not answered yet.
 const MESSAGES_PART: usize = 4;
 /// After being told to stop, connections still come for this long and are served.
@@ -77,6 +83,14 @@
     let book = Book::new(counters.clone());
     let sender = Sender::new(pool.clone(), inbox.clone(), book.clone(), limits.max_attempts);
     let longest = Duration::from_micros(site.longest.0);
+    let bounds = Bounds {
+        places: share(SERVED_PART),
+        stands: share(REFUSED_PART),
+        leaving: LEAVING,
+        requests: config.sockets / REQUESTS_PART,
+        longest: limits.max_retry_after,
+    };
+    let doorway = Doorway::new(bounds, clock);
     let intake = Intake::new(&site, clock);
     let (held, memory) = (Admit::new(site.max_open), Admit::new(config.memory / MESSAGES_PART));
     let desk = Rc::new(Desk::new(intake, held, memory, book.clone(), inbox.clone()));
@@ -91,9 +105,9 @@
     let driver = spawn_local(route.run());
     spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone()));
     spawn_local(pool.look_after());
-    let room = Room::new(share(SERVED_PART), share(REFUSED_PART));
+    spawn_local(doorway.clone().look_after());
     let (tell, phase) = watch::channel(Phase::Serving);
-    let serving = spawn_local(listener::run(listener, desk.clone(), room, phase, counters));
+    let serving = spawn_local(listener::run(listener, desk.clone(), doorway, phase, counters));
     tokio::select! {
         () = stop => {}
         _ = driver => return Err(DriverEnded),
--- a/src/stages/book.rs
+++ b/src/stages/book.rs
@@ -9,6 +9,17 @@
 #[derive(Clone)]
 pub struct Book(Rc<Counters>);
 
+/// What ran short where a request was refused before the decisions saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Edge {
+    /// Places at the door.
+    Door,
+    /// Room among the requests held.
+    Held,
+    /// Memory for its message.
+    Memory,
+}
+
 impl Book {
     /// Books into these counters.
     pub fn new(counters: Rc<Counters>) -> Book {
@@ -44,6 +55,15 @@
         }
     }
 
+    /// A request was refused before the decisions saw it, for this reason.
+    pub fn refused_at(&self, edge: Edge) {
+        match edge {
+            Edge::Door => self.0.refused_door.add(),
+            Edge::Held => self.0.refused_held.add(),
+            Edge::Memory => self.0.refused_memory.add(),
+        }
+    }
+
     /// A client left before its answer.
     pub fn lapsed(&self) {
         self.0.lapsed.add();
