Keep a member that was just heard of well when a probe's connection breaks

Lines: the last arm of `on_probed`. Ruled out: silence (1 of 68 illnesses), requests without a connection (they need six in a row).

A probe that ends so now counts only when nothing was heard of the member for a second, as for requests, or when it is ill already.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -260,6 +260,12 @@
         ill.trial_at = now + if ill.dead { (ill.backoff as f64 * chance) as Us } else { 0 };
     }
 
+    /// Well, and heard of so lately that a lost connection is no sign of its end.
+    fn just_heard(&self, id: MemberId) -> bool {
+        let word = |m: &Member| m.ill.is_none() && self.now <= m.heard.max(m.reported) + ALIVE;
+        self.members.get(&id).is_some_and(word)
+    }
+
     fn learn(&mut self, id: MemberId, position: Option<Us>, role: Option<Role>, as_of: (Us, Us)) {
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -300,6 +306,8 @@
                 self.tell(id, out);
             }
             Outcome::QueueFull | Outcome::Ignored | Outcome::Cancelled | Outcome::Garbled => {}
+            // A connection that broke, kept or new, says less than the member's own word of just now.
+            Outcome::Reset | Outcome::ConnectError if self.just_heard(id) => {}
             _ => self.fall_ill(id, true),
         }
         self.pump(group, out);
