--- a/src/choice.rs
+++ b/src/choice.rs
@@ -613,7 +613,9 @@
         for id in &g.held {
             let Some(r) = self.requests.get(id) else { continue };
             let (work, late) = (self.means[r.class].max(1.0), self.set.classes[r.class].late_worth);
-            let worth = r.worth * if self.now + ((work * 0.7) as Us) < r.aim_at { 1.0 } else { late };
+            // An answer's odds of coming in time, by what is left: whoever has waited too long goes last.
+            let odds = 1.0 - (-(r.aim_at.saturating_sub(self.now) as f64) / work).exp();
+            let worth = r.worth * (late + (1.0 - late) * odds);
             order.push((-(worth / work * 1e9) as i64, r.aim_at, *id));
         }
         order.sort_unstable();
@@ -767,8 +769,9 @@
             return self.fall_ill(member, true);
         }
         m.rest_until = now + ((TICK << m.refused) as f64 * chance) as Us;
-        // Turned down at once, not timed out on a slow handshake: then open connections are worth keeping.
-        if took < self.set.limits.connect_timeout.0 / 2 {
+        // Turned down at once, not timed out on a slow handshake: then open connections are worth keeping. Once
+        // alone is a connection that broke, not a member without any left.
+        if m.refused > 1 && took < self.set.limits.connect_timeout.0 / 2 {
             self.squeezed_until = now + ALIVE;
         }
         if self.probe_credit >= 1.0 && now > m.probed + PROBE_EVERY {
