--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,9 +66,9 @@
 const REFUSALS: u32 = 5;
 /// What a new connection costs, in mean latencies: smoothing, and what a failed one counts.
 const LINK_COST: (f64, f64) = (0.1, 5.0);
-/// A request is let go when less is left than so many mean latencies, or this part of its aim if that is less:
-/// what is sent so late mostly comes too late, and takes the room of what would not. The second bound keeps a
-/// slow time from ruling out fresh requests, and with them the news that it is over.
+/// A request is let go when less is left than so many mean latencies, or this part of its aim if that
+/// is less: what is sent so late mostly comes too late, and takes the room of what would not. The second
+/// bound keeps a slow time from ruling out fresh requests, and with them the news that it is over.
 const LEAD: (f64, f64) = (2.0, 0.7);
 /// Held requests and remembered sessions per group: bounds on memory and on work per event.
 const HELD_MOST: usize = 400;
@@ -777,8 +777,8 @@
             return self.fall_ill(member, true);
         }
         m.rest_until = now + ((TICK << m.refused) as f64 * chance) as Us;
-        // Turned down at once, not timed out on a slow handshake: then open connections are worth keeping. Once
-        // alone is a connection that broke, not a member without any left.
+        // Turned down at once, not timed out on a slow handshake: then open connections are worth keeping.
+        // Once alone is a connection that broke, not a member without any left.
         if m.refused > 1 && took < self.set.limits.connect_timeout.0 / 2 {
             self.squeezed_until = now + ALIVE;
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -407,9 +407,9 @@
     rig.wait(250);
     let mut ended = 0;
     for _ in 0..7 {
-        for attempt in ended..rig.sends(write).len() as u32 {
-            rig.answer(write, attempt, 1, Outcome::ConnectError, 250, None, None);
-            ended = attempt + 1;
+        while ended < rig.sends(write).len() as u32 {
+            rig.answer(write, ended, 1, Outcome::ConnectError, 250, None, None);
+            ended += 1;
         }
         rig.event(Event::Probed {
             member: MemberId(1),
@@ -536,7 +536,7 @@
     for broken in [Outcome::Reset, Outcome::ConnectError] {
         let mut rig = Rig::new(settings());
         let report = LoadReport::default();
-        rig.event(Event::Probed { member: MemberId(1), outcome: broken, report: report.clone() });
+        rig.event(Event::Probed { member: MemberId(1), outcome: broken, report });
         let write = rig.ask(WRITE, 1_000, None);
         assert_eq!(rig.sends(write), [1], "it has just answered a write");
         rig.answer(write, 0, 1, Outcome::Ok, 5, Some(rig.now), Some(Role::Primary));
