--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,10 +66,11 @@
 const REFUSALS: u32 = 5;
 /// What a new connection costs, in mean latencies: smoothing, and what a failed one counts.
 const LINK_COST: (f64, f64) = (0.1, 5.0);
-/// A request is let go when less is left than so many mean latencies, or this part of its aim if that
-/// is less: what is sent so late mostly comes too late, and takes the room of what would not. The second
+/// What has less left than so many mean latencies, or this part of its aim if that is less, mostly comes too
+/// late: it goes only to a member that has less than SPARE of its limit in flight, or is let go. The second
 /// bound keeps a slow time from ruling out fresh requests, and with them the news that it is over.
 const LEAD: (f64, f64) = (2.0, 0.7);
+const SPARE: f64 = 0.5;
 /// Held requests and remembered sessions per group: bounds on memory and on work per event.
 const HELD_MOST: usize = 400;
 const TRIES: usize = 24;
@@ -452,9 +453,9 @@
     // ---- The draw ----
 
     /// Room for one more here, by the member's limit and rest and, while cold, by this router's permit.
-    fn room(&self, m: &Member) -> bool {
-        let warm = self.warmth(m);
-        if (m.open.len() as f64) >= (m.limit * warm).max(1.0) || self.now < m.rest_until {
+    fn room(&self, r: &Held, m: &Member) -> bool {
+        let (warm, part) = (self.warmth(m), if self.pressed(r) { SPARE } else { 1.0 });
+        if (m.open.len() as f64) >= (m.limit * warm * part).max(1.0) || self.now < m.rest_until {
             return false;
         }
         warm >= 1.0 || (self.now >= m.permit_at && m.permit_at > 0)
@@ -492,7 +493,7 @@
             let rested = r.missed.get(id).is_none_or(|at| self.now >= at + MISS_REST);
             let fit = if healthy { may_try(m) } else { m.state == MemberState::InService };
             let out = r.open.iter().any(|a| a.member == *id) || (gather && far_ahead(m));
-            if !rested || !fit || out || !self.room(m) || !self.fresh_enough(m, target) {
+            if !rested || !fit || out || !self.room(r, m) || !self.fresh_enough(m, target) {
                 continue;
             }
             let far = f64::from(u8::from(m.zone != Some(self.set.zone))) * 10.0 * self.set.prices.cross_zone;
@@ -563,11 +564,14 @@
         if let Some(member) = self.choose(r) {
             return self.send(id, member, out);
         }
+        if self.pressed(r) {
+            return self.give_up(id, out);
+        }
         self.groups.entry(group).or_default().held.insert(id);
     }
 
     fn choose(&self, r: &Held) -> Option<MemberId> {
-        let room = |m: MemberId| self.members.get(&m).is_some_and(|m| self.room(m));
+        let room = |m: MemberId| self.members.get(&m).is_some_and(|m| self.room(r, m));
         match self.set.classes[r.class].read {
             ReadLevel::Write => {
                 // A primary that was silent or away gets one write at a time to show whether it is back.
@@ -634,7 +638,9 @@
         for (n, (_, _, id)) in order.into_iter().enumerate() {
             if n >= HELD_MOST {
                 self.give_up(id, out);
-            } else if failed < TRIES || self.requests.get(&id).is_some_and(|r| !self.winnable(r)) {
+            } else if failed < TRIES
+                || self.requests.get(&id).is_some_and(|r| !self.winnable(r) || self.pressed(r))
+            {
                 self.place(id, out);
                 failed += usize::from(self.groups.get(&group).is_some_and(|g| g.held.contains(&id)));
             }
@@ -872,11 +878,18 @@
 
     // ---- Refusals ----
 
+    /// Too little is left for good odds and the wait for a replica is over: it goes now to a member with
+    /// room to spare, or is let go.
+    fn pressed(&self, r: &Held) -> bool {
+        let lead = (self.means[r.class] * LEAD.0).min((r.aim_at - r.arrived) as f64 * LEAD.1);
+        let late = self.now >= r.fall_at.max(r.aim_at.saturating_sub(lead as Us));
+        late && self.set.classes[r.class].late_worth == 0.0
+    }
+
     /// Whether an answer can still be worth something to the client. What reached nobody, the primary away or
     /// cold, is let go by half its time, for its client to come back. Harm: an election may end just after.
     fn winnable(&self, r: &Held) -> bool {
-        let lead = (self.means[r.class] * LEAD.0).min((r.aim_at - r.arrived) as f64 * LEAD.1);
-        let soonest = self.now + MARGIN + lead as Us;
+        let soonest = self.now + MARGIN + (self.means[r.class] * 0.3) as Us;
         let late_pays = self.set.classes[r.class].late_worth > 0.0;
         let in_time = soonest < r.deadline && (late_pays || soonest < r.aim_at + MARGIN);
         let half = self.now + 2 * MARGIN >= r.arrived.midpoint(r.deadline);
