--- a/src/choice.rs
+++ b/src/choice.rs
@@ -244,9 +244,10 @@
                 ill.ready = true; // Probes say only that the process runs: one request may try.
                 return;
             }
-            // Back from the dead before the list told: it may be cold.
-            if ill.dead && now - ill.since > 1_000 * MS && m.cold_since.is_none_or(|c| c + started_cold < now)
-            {
+            // Back from the dead before the list told: it may be cold. Where nobody listens a connection
+            // fails at once; none that did means a cut, and a restart behind one the list will tell.
+            let gone = ill.dead && ill.down && now - ill.since > 1_000 * MS;
+            if gone && m.cold_since.is_none_or(|c| c + started_cold < now) {
                 (m.cold_since, m.permit_at) = (Some(now), 0);
             }
             m.ill = None;
@@ -255,12 +256,13 @@
     }
 
     /// Trials are probes, spread by chance: hundreds of routers trying with requests would lose one each.
-    fn fall_ill(&mut self, id: MemberId, dead: bool) {
+    fn fall_ill(&mut self, id: MemberId, dead: bool, down: bool) {
         let (now, chance) = (self.now, 0.5 + self.rng.get_mut().f64());
         let Some(m) = self.members.get_mut(&id) else { return };
-        let new = Ill { since: now, dead, ready: false, trial_at: now, backoff: TRIAL.0 / 2 };
+        let new = Ill { since: now, dead, down, ready: false, trial_at: now, backoff: TRIAL.0 / 2 };
         let ill = m.ill.get_or_insert(new);
-        (ill.dead, ill.ready, ill.backoff) = (ill.dead || dead, false, (ill.backoff * 2).min(TRIAL.1));
+        (ill.dead, ill.down, ill.ready) = (ill.dead || dead, ill.down || down, false);
+        ill.backoff = (ill.backoff * 2).min(TRIAL.1);
         // Silence may be a lost answer: a probe at once.
         ill.trial_at = now + if ill.dead { (ill.backoff as f64 * chance) as Us } else { 0 };
     }
@@ -301,6 +303,8 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         m.probing = false;
         let Some(group) = m.group else { return };
+        let quick = now - m.probed < self.set.limits.connect_timeout.0 / 2;
+        let down = quick && outcome == Outcome::ConnectError;
         match outcome {
             Outcome::Ok => {
                 self.hear(id, false);
@@ -317,7 +321,7 @@
             Outcome::ConnectError if self.just_heard(id) => {
                 self.members.entry(id).and_modify(|m| m.refused += 1);
             }
-            _ => self.fall_ill(id, true),
+            _ => self.fall_ill(id, true, down),
         }
         self.pump(group, out);
     }
@@ -400,7 +404,7 @@
             let quiet = (now - sent.max(m.heard)) as f64;
             let bound = usual * (SILENT.0 + SILENT.1 / m.open.len() as f64);
             if quiet > bound.max(SILENT.2) && m.ill.is_none() {
-                self.fall_ill(id, false);
+                self.fall_ill(id, false, false);
             }
         }
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -780,7 +784,7 @@
         m.refused += 1;
         self.link_cost += LINK_COST.0 * (LINK_COST.1 - self.link_cost);
         if m.refused > REFUSALS || now > m.heard.max(m.reported) + ALIVE {
-            return self.fall_ill(member, true);
+            return self.fall_ill(member, true, took < self.set.limits.connect_timeout.0 / 2);
         }
         m.rest_until = now + ((TICK << m.refused) as f64 * chance) as Us;
         // Turned down at once, not timed out on a slow handshake: then open connections are worth keeping.
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
 pub(crate) struct Ill {
     pub(crate) since: Us,
     pub(crate) dead: bool,
+    /// A connection failed at once: nobody listens there.
+    pub(crate) down: bool,
     pub(crate) ready: bool,
     pub(crate) trial_at: Us,
     pub(crate) backoff: Us,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -574,3 +574,28 @@
         "300 ms of its 500 are over: it is answered at once, with when to come back"
     );
 }
+
+// Guards against sparing a member for the whole time of a warm-up when it was only cut off: its primary took 17%
+// of the writes it could for 16 s after a data room was back.
+#[test]
+fn a_member_that_was_only_cut_off_gets_its_full_share_at_once() {
+    for (took, cut) in [(250, true), (1, false)] {
+        let mut rig = Rig::new(settings());
+        for _ in 0..8 {
+            let write = rig.ask(WRITE, 2_000, None);
+            rig.wait(took);
+            for attempt in 0..rig.sends(write).len() as u32 {
+                rig.answer(write, attempt, 1, Outcome::ConnectError, took, None, None);
+            }
+        }
+        rig.wait(3_000);
+        rig.report(1, rig.now, Role::Primary);
+        let first = rig.ask(WRITE, 2_000, None);
+        rig.wait(500);
+        let sent = rig.sends(first).len() as u32;
+        (0..sent).for_each(|n| rig.answer(first, n, 1, Outcome::Ok, 5, Some(rig.now), Some(Role::Primary)));
+        let writes: Vec<RequestId> = (0..4).map(|_| rig.ask(WRITE, 1_000, None)).collect();
+        let sent = writes.iter().filter(|id| !rig.sends(**id).is_empty()).count();
+        assert_eq!(sent == 4, cut, "{sent} of 4 writes sent at once");
+    }
+}
