Make the decisions a package of their own, with clocks and I/O kept out by clippy

Need: the workspace that OData and later fronts are built in. What decides must not come to know a socket or a clock, and the package boundary makes the compiler and clippy keep it: with `Instant::now()` put into the door, lint fails.

Moved with their history: api, choice, state, door, and the tests that play them alone.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,11 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 run: build
 	LB_CONFIG=examples/config.json target/release/linenhill
--- a/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -1,4 +1,4 @@
-//! The decision module. Its interface is `src/api.rs`; the plain records that it keeps are in `src/state.rs`.
+//! The decision module. Its interface is `api.rs`; the plain records that it keeps are in `state.rs`.
 //!
 //! One mechanism decides the ordinary path: a read with a target log position runs on a replica that has
 //! applied it, waiting for that up to a timeout, and otherwise on the primary; writes and fresh reads run on
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small driver for `Router` alone: sends events, keeps the actions.
 #![allow(dead_code)] // Each test file uses a part of it.
 
-use linenhill::api::*;
-use linenhill::choice::Router;
+use linenhill_decisions::api::*;
+use linenhill_decisions::choice::Router;
 use std::sync::Arc;
 
 pub const MS: u64 = 1_000;
--- a/tests/door.rs
+++ b/crates/decisions/tests/door.rs
@@ -1,7 +1,7 @@
 //! The door alone: the crowd of a recorded incident in virtual time, and whatever may happen in any order.
 
-use linenhill::api::{Span, Time};
-use linenhill::door::{Action, Bounds, Door, Event, SeatId};
+use linenhill_decisions::api::{Span, Time};
+use linenhill_decisions::door::{Action, Bounds, Door, Event, SeatId};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linenhill::api::*;
+use linenhill_decisions::api::*;
 
 fn open_after_removal(open: bool) -> Settings {
     let mut s = settings();
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linenhill::api::*;
+use linenhill_decisions::api::*;
 
 #[test]
 fn a_session_read_waits_for_a_replica_that_has_its_write() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,21 +7,19 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod api;
-pub mod choice;
+pub use linenhill_decisions::{api, choice, door};
+
 pub mod clients;
 pub mod clock;
 pub mod close_reason;
 pub mod config;
 pub mod counters;
 pub mod discovery;
-pub mod door;
 pub mod members;
 pub mod pg;
 pub mod proxy;
 pub mod settings;
 pub mod stages;
-mod state;
 
 /// README's example is compiled with the tests.
 #[cfg(doctest)]
