--- /dev/null
+++ b/crates/decisions/src/policy/members.rs
@@ -0,0 +1,271 @@
+//! What is known of each member: listed, heard, ill, cold; and the probes that find it out.
+
+use super::*;
+
+impl Router {
+    pub(super) fn on_list(&mut self, update: ListUpdate) {
+        let (entries, whole) = match update {
+            ListUpdate::Changes(e) => (e, false),
+            ListUpdate::Full(e) | ListUpdate::Cached(e) => (e, true),
+            ListUpdate::Failed => {
+                if self.set.discovery == Discovery::OnRequest {
+                    self.ask_at = Some(self.now + self.ask_gap);
+                    self.ask_gap = (self.ask_gap * 2).min(REASK.1).min(self.set.rules.ask_within.0 / 2);
+                }
+                return;
+            }
+        };
+        self.ask_gap = REASK.0;
+        entries.iter().for_each(|e| self.on_entry(e));
+        if whole {
+            let named: BTreeSet<MemberId> = entries.iter().map(|e| e.member).collect();
+            let ids: Vec<MemberId> = self.members.keys().copied().collect();
+            ids.iter().filter(|id| !named.contains(id)).for_each(|id| self.on_removed(*id));
+        }
+        let (now, groups) = (self.now, &mut self.groups);
+        self.members.retain(|id, m| {
+            let seen = m.absent_since.map(|t| t.max(m.heard).max(m.reported));
+            let keep = seen.is_none_or(|t| now < t + KEEP_ABSENT) || !m.open.is_empty() || m.probing;
+            m.group.filter(|_| !keep).and_then(|g| groups.get_mut(&g)).map(|g| g.members.remove(id));
+            keep
+        });
+        self.groups.keys().copied().collect::<Vec<_>>().into_iter().for_each(|g| self.find_primary(g));
+    }
+
+    /// A list can be empty, old or wrong while all its members serve: what was learned outlives absence, and
+    /// where only a drain binds, a member stays in use. Harm: one truly gone costs a failed connection.
+    fn on_removed(&mut self, id: MemberId) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        m.absent_since.get_or_insert(self.now);
+        if m.state != MemberState::InService || !self.set.rules.removal_stays_open {
+            m.state = MemberState::Gone;
+            m.group.and_then(|g| self.groups.get_mut(&g)).map(|g| g.members.remove(&id));
+        }
+    }
+
+    fn on_entry(&mut self, e: &ListEntry) {
+        if e.state == MemberState::Gone {
+            return self.on_removed(e.member);
+        }
+        let (now, started) = (self.now, e.started.map_or(0, |t| t.0));
+        self.groups.entry(e.group).or_default().members.insert(e.member);
+        let (cold, limit) = (self.set.rules.cold.0, self.shared(LIMIT.0).min(LIMIT_ONE.0));
+        let m = self.members.entry(e.member).or_insert_with(|| {
+            let cold_since = (started > 0 && now < started + cold).then_some(started);
+            Member { started, cold_since, ratio: 1.0, limit, ..Member::default() }
+        });
+        if started > m.started {
+            // A restart: cold, and the old role is void; what it had applied it still has.
+            (m.started, m.cold_since, m.permit_at) = (started, Some(started), 0);
+            (m.primary_at, m.limit) = (0, limit);
+        }
+        (m.zone, m.group, m.state, m.absent_since) = (Some(e.zone), Some(e.group), e.state, None);
+        // The registry's word on roles is late: it counts only while nothing better was ever heard.
+        if self.set.list_names_primary && m.replica_at == 0 && m.primary_at <= 1 {
+            m.primary_at = u64::from(e.primary_hint);
+        }
+    }
+
+    /// How much of its warm capacity a member has at least, by the rules' slowest ramp.
+    pub(super) fn warmth(&self, m: &Member) -> f64 {
+        let Some(since) = m.cold_since else { return 1.0 };
+        let part = (self.now.saturating_sub(since)) as f64 / self.set.rules.cold.0.max(1) as f64;
+        (self.set.rules.cold_from + (1.0 - self.set.rules.cold_from) * part).min(1.0)
+    }
+
+    /// When this router may next send to a cold member. The mean gap keeps all routers at part of what a few
+    /// cores bear by the rules' slowest ramp; chance keeps apart those that learn of the start together; an
+    /// unused permit lapses, or all would save up one request each and spend them at once.
+    pub(super) fn next_permit(&mut self, id: MemberId, work: f64) {
+        let Some(m) = self.members.get(&id) else { return };
+        let share = self.shared(self.set.rules.fall_multiple * COLD_CORES);
+        let gap = work.max(1.0) / (self.warmth(m) * share).max(1e-9);
+        let at = self.now + (2.0 * gap * self.rng.get_mut().f64()) as Us;
+        self.members.entry(id).and_modify(|m| m.permit_at = at);
+    }
+
+    pub(super) fn hear(&mut self, id: MemberId, answered: bool) {
+        let (now, started_cold) = (self.now, self.set.rules.cold.0);
+        let Some(m) = self.members.get_mut(&id) else { return };
+        m.heard = if answered { now } else { m.heard };
+        if let Some(ill) = &mut m.ill {
+            if !answered && !ill.dead {
+                ill.ready = true; // Probes say only that the process runs: one request may try.
+                return;
+            }
+            // Back from the dead before the list told: it may be cold. Where nobody listens a connection
+            // fails at once; none that did means a cut, and a restart behind one the list will tell.
+            let gone = ill.dead && ill.down && now - ill.since > 1_000 * MS;
+            if gone && m.cold_since.is_none_or(|c| c + started_cold < now) {
+                (m.cold_since, m.permit_at) = (Some(now), 0);
+            }
+            m.ill = None;
+            m.ratio = m.ratio.min(2.0);
+        }
+    }
+
+    /// Trials are probes, spread by chance: hundreds of routers trying with requests would lose one each.
+    pub(super) fn fall_ill(&mut self, id: MemberId, dead: bool, down: bool) {
+        let (now, chance) = (self.now, 0.5 + self.rng.get_mut().f64());
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let new = Ill { since: now, dead, down, ready: false, trial_at: now, backoff: TRIAL.0 / 2 };
+        let ill = m.ill.get_or_insert(new);
+        (ill.dead, ill.down, ill.ready) = (ill.dead || dead, ill.down || down, false);
+        ill.backoff = (ill.backoff * 2).min(TRIAL.1);
+        // Silence may be a lost answer: a probe at once.
+        ill.trial_at = now + if ill.dead { (ill.backoff as f64 * chance) as Us } else { 0 };
+    }
+
+    /// Well, and heard of so lately that a lost connection is no sign of its end, nor two new ones in a row.
+    fn just_heard(&self, id: MemberId) -> bool {
+        let word =
+            |m: &Member| m.ill.is_none() && m.refused < 2 && self.now <= m.heard.max(m.reported) + ALIVE;
+        self.members.get(&id).is_some_and(word)
+    }
+
+    pub(super) fn learn(&mut self, id: MemberId, position: Option<Us>, role: Option<Role>, as_of: (Us, Us)) {
+        let now = self.now;
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if let Some(p) = position.filter(|p| *p < now + ALIVE) {
+            m.position = m.position.max(p);
+            m.reported = now;
+        }
+        match role {
+            Some(Role::Primary) => m.primary_at = m.primary_at.max(as_of.0),
+            Some(Role::Replica) => m.replica_at = m.replica_at.max(as_of.1),
+            None => {}
+        }
+        let Some(group) = m.group else { return };
+        // The log has moved on since: the primary that seemed to hang is alive.
+        let alive = position.unwrap_or(0).saturating_sub(REPORT_AGE);
+        let primary = self.groups.get(&group).and_then(|g| g.primary);
+        if let Some(p) = primary.and_then(|p| self.members.get_mut(&p))
+            && p.ill.as_ref().is_some_and(|i| !i.dead && i.since < alive)
+        {
+            (p.ill, p.heard) = (None, now);
+        }
+        self.find_primary(group);
+    }
+
+    pub(super) fn on_probed(
+        &mut self, id: MemberId, outcome: Outcome, report: LoadReport, out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let Some(m) = self.members.get_mut(&id) else { return };
+        m.probing = false;
+        let Some(group) = m.group else { return };
+        let quick = now - m.probed < self.set.limits.connect_timeout.0 / 2;
+        let down = quick && outcome == Outcome::ConnectError;
+        match outcome {
+            Outcome::Ok => {
+                self.hear(id, false);
+                // Reports are rounded: a millisecond less is surely applied. A primary's own position is
+                // the moment of its report; a replica's says nothing of its age, so it counts as old.
+                let position = report.position.map(|p| p.0.saturating_sub(MS));
+                let as_of = position.unwrap_or(now.saturating_sub(REPORT_AGE)).min(now);
+                self.learn(id, position, report.role, (as_of, now.saturating_sub(REPORT_AGE)));
+                self.tell(id, out);
+            }
+            Outcome::QueueFull | Outcome::Ignored | Outcome::Cancelled | Outcome::Garbled => {}
+            // A connection that broke, kept or new, says less than the member's own word of just now.
+            Outcome::Reset if self.just_heard(id) => {}
+            Outcome::ConnectError if self.just_heard(id) => {
+                self.members.entry(id).and_modify(|m| m.refused += 1);
+            }
+            _ => self.fall_ill(id, true, down),
+        }
+        self.pump(group, out);
+    }
+
+    /// Tells all peers a position just learned that moved on since any of them told it: each of many routers
+    /// alone hears too little to know who is fresh. Positions are floors: late or lost words do no harm.
+    pub(super) fn tell(&mut self, id: MemberId, out: &mut Vec<Action>) {
+        let receivers = f64::from(self.set.fleet_size.saturating_sub(1));
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let news = self.set.limits.peers && m.position > m.shared + TELL_STEP;
+        if news && receivers > 0.0 && self.tell_credit >= receivers {
+            self.tell_credit -= receivers;
+            m.shared = m.position;
+            let primary = m.primary_at > m.replica_at;
+            out.push(Action::Tell { member: id, position: Time(m.position), primary });
+        }
+    }
+
+    /// What a peer tells counts like an old report; only of known members, and no nonsense.
+    pub(super) fn on_told(&mut self, id: MemberId, position: Us, primary: bool, out: &mut Vec<Action>) {
+        let now = self.now;
+        let news = |m: &&mut Member| position > m.position && position <= now;
+        let Some(m) = self.members.get_mut(&id).filter(news) else { return };
+        (m.shared, m.position, m.reported) = (m.shared.max(position), position, now);
+        let group = m.group.filter(|g| self.groups.get(g).is_some_and(|g| !g.held.is_empty()));
+        if primary {
+            self.learn(id, None, Some(Role::Primary), (position, 0));
+        }
+        group.into_iter().for_each(|g| self.pump(g, out));
+    }
+
+    pub(super) fn probe(&mut self, id: MemberId, out: &mut Vec<Action>) {
+        let now = self.now;
+        if let Some(m) = self.members.get_mut(&id).filter(|m| self.set.limits.probe && !m.probing) {
+            (m.probing, m.probed) = (true, now);
+            out.push(Action::Probe { member: id });
+        }
+    }
+
+    /// A few by chance: hundreds of routers must not each ask every member.
+    pub(super) fn probe_some(&mut self, mut ids: Vec<MemberId>, out: &mut Vec<Action>) {
+        self.rng.get_mut().shuffle(&mut ids);
+        ids.into_iter().take(self.shared(LIMIT.0).max(2.0) as usize).for_each(|id| self.probe(id, out));
+    }
+
+    pub(super) fn on_tick(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        if self.ask_at.is_some_and(|at| at <= now) {
+            out.push(Action::Subscribe);
+            self.ask_at = None;
+        }
+        let walk = now >= self.walk_at;
+        self.walk_at = if walk { now + WALK } else { self.walk_at };
+        let members = self.members.iter().filter(|(_, m)| walk || !m.open.is_empty());
+        for id in members.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.check_member(id, out);
+        }
+        let groups = self.groups.iter().filter(|(_, g)| !g.held.is_empty());
+        for g in groups.map(|(g, _)| *g).collect::<Vec<_>>() {
+            self.seek(g, out);
+            self.pump(g, out);
+        }
+        self.rescue(out);
+    }
+
+    fn check_member(&mut self, id: MemberId, out: &mut Vec<Action>) {
+        let now = self.now;
+        let warm = self.warmth(&self.members[&id]);
+        let Some(m) = self.members.get_mut(&id).filter(|m| m.state != MemberState::Gone) else { return };
+        m.cold_since = m.cold_since.filter(|_| warm < 1.0);
+        if m.cold_since.is_some() && now >= m.permit_at + self.set.rules.fall.0 {
+            let work = self.means.iter().sum::<f64>() / self.means.len().max(1) as f64;
+            self.next_permit(id, work);
+        }
+        let m = &self.members[&id];
+        let oldest = m.open.values().copied().min_by_key(|o| o.0);
+        if let Some((sent, class, _)) = oldest {
+            // Work taken and no answer at all: a hang, a dead link, a lost room. Shows before time-outs do.
+            let usual = self.means[class] * m.ratio.clamp(1.0, 4.0);
+            let quiet = (now - sent.max(m.heard)) as f64;
+            let bound = usual * (SILENT.0 + SILENT.1 / m.open.len() as f64);
+            if quiet > bound.max(SILENT.2) && m.ill.is_none() {
+                self.fall_ill(id, false, false);
+            }
+        }
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if let Some(ill) = m.ill.as_mut().filter(|i| now >= i.trial_at && !i.ready) {
+            (ill.trial_at, ill.ready) = (now + ill.backoff, !self.set.limits.probe);
+            return self.probe(id, out);
+        }
+        if well(m) && now >= m.reported.max(m.probed) + PROBE_EVERY && self.probe_credit >= 1.0 {
+            self.probe_credit -= 1.0;
+            self.probe(id, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/policy/primary.rs
@@ -0,0 +1,39 @@
+//! Who is primary, by the newest evidence, and the search while nobody is.
+
+use super::*;
+
+impl Router {
+    /// Newest evidence wins: the member with the latest claim that nothing newer of its own denies.
+    pub(super) fn find_primary(&mut self, group: GroupId) {
+        let Some(g) = self.groups.get_mut(&group) else { return };
+        let claim = |id: &MemberId| {
+            let m = self.members.get(id)?;
+            (m.primary_at > m.replica_at).then_some((m.primary_at, *id))
+        };
+        g.primary = g.members.iter().filter_map(claim).max().map(|(_, id)| id);
+    }
+
+    /// The primary that may be given work now.
+    pub(super) fn primary(&self, group: GroupId) -> Option<MemberId> {
+        let id = self.groups.get(&group)?.primary?;
+        let m = self.members.get(&id)?;
+        well(m).then_some(id)
+    }
+
+    /// The primary that a read may rely on. A list or report can be wrong or old; where members don't check,
+    /// only the last answer's own word keeps a stale read from a member that is primary no longer.
+    pub(super) fn trusted(&self, group: GroupId) -> Option<MemberId> {
+        self.primary(group).filter(|id| self.set.check != ReplicaCheck::None || self.members[id].proven)
+    }
+
+    /// Looks for the primary while there is none and work that only it can do waits.
+    pub(super) fn seek(&mut self, group: GroupId, out: &mut Vec<Action>) {
+        let (now, known) = (self.now, self.primary(group).is_some());
+        let Some(g) = self.groups.get_mut(&group) else { return };
+        if !known && now >= g.seek_at && g.first_held > 0 {
+            g.seek_at = now + SEEK_EVERY;
+            let ids = g.members.iter().copied().collect();
+            self.probe_some(ids, out);
+        }
+    }
+}
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,4 +1,4 @@
-//! What a router keeps in mind: plain records, no decisions. The decisions on them are in `choice.rs`.
+//! What a router keeps in mind: plain records, no decisions. The decisions on them are in `policy/`.
 
 use crate::api::*;
 use std::cell::RefCell;
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)] // Each test file uses a part of it.
 
 use linenhill_decisions::api::*;
-use linenhill_decisions::choice::Router;
+use linenhill_decisions::policy::Router;
 use std::sync::Arc;
 
 pub const MS: u64 = 1_000;
--- a/src/bin/linenhill-benchlink/wire.rs
+++ b/src/bin/linenhill-benchlink/wire.rs
@@ -3,7 +3,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use linenhill::api::*;
-use linenhill::choice::Router;
+use linenhill::policy::Router;
 use linenhill::settings::{self, Names, Profile, WORD_BYTES};
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,13 @@
 //! linenhill is a proxy for groups of one primary and its replicas: it decides which member of a group gets
 //! a request, when, and what happens after failures.
 //!
-//! The decisions do no I/O: a driver feeds [`api::Event`]s to [`choice::Router::handle`] with the current
+//! The decisions do no I/O: a driver feeds [`api::Event`]s to [`policy::Router::handle`] with the current
 //! time, and carries out the [`api::Action`]s it pushes. [`proxy`] is that driver on real sockets; the
 //! adapter `linenhill-benchlink` is one on a simulator's wire.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub use linenhill_decisions::{api, choice, door};
+pub use linenhill_decisions::{api, door, policy};
 
 pub mod clients;
 pub mod clock;
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -1,6 +1,5 @@
 //! The parts put together: one thread, one driver of the decisions, and tasks for everything that waits.
 
-use crate::choice::Router;
 use crate::clients::desk::Desk;
 use crate::clients::doorway::Doorway;
 use crate::clients::listener::{self, Phase};
@@ -11,6 +10,7 @@
 use crate::discovery::list::News;
 use crate::door::Bounds;
 use crate::members::pool::Pool;
+use crate::policy::Router;
 use crate::stages::Input;
 use crate::stages::admit::Admit;
 use crate::stages::book::Book;
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -6,7 +6,6 @@
 
 use futures_util::FutureExt;
 use linenhill::api::{MemberId, Outcome, RequestId, Span, Time};
-use linenhill::choice::Router;
 use linenhill::clients::desk::Desk;
 use linenhill::clients::doorway::{Doorway, Seated};
 use linenhill::clients::listener::{self, Phase};
@@ -19,6 +18,7 @@
 use linenhill::door::Bounds;
 use linenhill::members::link::Link;
 use linenhill::members::pool::Pool;
+use linenhill::policy::Router;
 use linenhill::stages::admit::Admit;
 use linenhill::stages::book::Book;
 use linenhill::stages::intake::Intake;
