Make the settings a package of their own, below whatever reads them

Need: the packages for discovery, the flow and the protocols all read settings and must not reach into the program for them. Moved with its history; the library's path `linenhill::settings` stays by re-export.

--- a/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,10 @@
 //! The settings as operators write them (JSON), read for the adapter and the proxy alike, and their checked
-//! conversion into [`crate::api::Settings`].
+//! conversion into [`linenhill_decisions::api::Settings`].
 
-use crate::api::*;
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use linenhill_decisions::api::*;
 use miniserde::Deserialize;
 use miniserde::json::{self, Array, Object, Value};
 use std::collections::BTreeMap;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub use linenhill_decisions::{api, door, policy};
+pub use linenhill_settings as settings;
 
 pub mod clients;
 pub mod clock;
@@ -18,7 +19,6 @@
 pub mod members;
 pub mod pg;
 pub mod proxy;
-pub mod settings;
 pub mod stages;
 
 /// README's example is compiled with the tests.
