Untie the budget and the stop's phase from those who use them

Need: `members` and `pg` imported `stages` for the descriptor and memory bound, and the listener and its sessions imported each other for the phase of a stop. `budget` (moved with its history from `stages/admit`) stands below all of them now; `admit` is a stage again, which says what ran short; `clients/phase` is its own.

--- a/src/clients/desk.rs
+++ b/src/clients/desk.rs
@@ -1,8 +1,9 @@
 //! Where sessions hand their requests in: the stages before the decisions, and the way back.
 
 use crate::api::{ClassId, ReadLevel, RequestId, Span};
-use crate::stages::admit::{Admit, Place};
-use crate::stages::book::{Book, Edge};
+use crate::budget::{Budget, Place};
+use crate::stages::admit::{Admit, Edge};
+use crate::stages::book::Book;
 use crate::stages::intake::{Intake, IntakeError, OpenId};
 use crate::stages::{Answer, Incoming, Input, Taken};
 use std::time::Duration;
@@ -16,7 +17,6 @@
 pub struct Desk {
     intake: Intake,
     admit: Admit,
-    memory: Admit,
     book: Book,
     inbox: mpsc::UnboundedSender<Input>,
 }
@@ -65,10 +65,8 @@
 
 impl Desk {
     /// A desk before the decisions that read `inbox`; requests held and the memory of messages are admitted.
-    pub fn new(
-        intake: Intake, admit: Admit, memory: Admit, book: Book, inbox: mpsc::UnboundedSender<Input>,
-    ) -> Desk {
-        Desk { intake, admit, memory, book, inbox }
+    pub fn new(intake: Intake, admit: Admit, book: Book, inbox: mpsc::UnboundedSender<Input>) -> Desk {
+        Desk { intake, admit, book, inbox }
     }
 
     /// Refuses a request at the edge.
@@ -91,8 +89,8 @@
     }
 
     /// The memory that clients' messages share, in bytes.
-    pub fn memory(&self) -> Admit {
-        self.memory.clone()
+    pub fn memory(&self) -> Budget {
+        self.admit.memory()
     }
 
     /// Claims a request's id when it comes.
@@ -107,7 +105,7 @@
         let Claim { mut incoming, class, id: open, .. } = claim;
         incoming.wait_ms = incoming.wait_ms.saturating_sub(waited.as_millis() as u64);
         let request = self.intake.take(&incoming, class);
-        let Some(place) = self.admit.enter() else { return Err(self.refuse(Edge::Held, COME_BACK)) };
+        let place = self.admit.request().map_err(|edge| self.refuse(edge, COME_BACK))?;
         self.book.taken();
         let (reply, answer) = oneshot::channel();
         let deadline = Instant::now() + Duration::from_micros(request.left.0);
--- a/src/clients/listener.rs
+++ b/src/clients/listener.rs
@@ -2,6 +2,7 @@
 
 use super::desk::Desk;
 use super::doorway::Doorway;
+use super::phase::Phase;
 use super::session;
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::counters::Counters;
@@ -16,15 +17,6 @@
 /// A pause after an accept that failed: descriptors come back as connections end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// How far a stop has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// No stop.
-    Serving,
-    /// No new connections; those between requests are closed.
-    Closing,
-}
-
 /// Accepts and serves until the phase says to close, then waits for the sessions to end.
 pub async fn run(
     listener: TcpListener, desk: Rc<Desk>, doorway: Rc<Doorway>, mut phase: watch::Receiver<Phase>,
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -3,4 +3,5 @@
 pub mod desk;
 pub mod doorway;
 pub mod listener;
+pub mod phase;
 pub mod session;
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -2,15 +2,15 @@
 
 use super::desk::{COME_BACK, Claim, Desk, Pending};
 use super::doorway::{Manner, Seated};
-use super::listener::Phase;
+use super::phase::Phase;
 use crate::api::Span;
+use crate::budget::Place;
 use crate::close_reason::CloseReason;
 use crate::pg::PgError;
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
 use crate::pg::statement::{self, StatementError};
 use crate::stages::Answer;
-use crate::stages::admit::Place;
-use crate::stages::book::Edge;
+use crate::stages::admit::Edge;
 use crate::stages::intake::IntakeError;
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
--- a/src/members/link.rs
+++ b/src/members/link.rs
@@ -1,11 +1,11 @@
 //! One connection to a member.
 
 use crate::api::{LoadReport, Outcome, Role, Time};
+use crate::budget::Place;
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::members::report;
 use crate::pg::PgError;
 use crate::pg::backend::{Backend, BackendCodec, Command};
-use crate::stages::admit::Place;
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use std::cell::Cell;
--- a/src/members/pool.rs
+++ b/src/members/pool.rs
@@ -2,10 +2,10 @@
 //! before the member closes them. One budget of descriptors holds for all members together.
 
 use crate::api::MemberId;
+use crate::budget::{Budget, Place};
 use crate::close_reason::CloseReason;
 use crate::counters::Counters;
 use crate::members::link::Link;
-use crate::stages::admit::{Admit, Place};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,7 +28,7 @@
 
 struct Inner {
     slots: RefCell<BTreeMap<MemberId, Slot>>,
-    budget: Admit,
+    budget: Budget,
     retire: Duration,
     connect: Duration,
     counters: Rc<Counters>,
@@ -42,7 +42,7 @@
     /// Holds at most `most` connections; members close idle ones after `idle_close`.
     pub fn new(most: usize, idle_close: Duration, connect: Duration, counters: Rc<Counters>) -> Pool {
         let retire = idle_close.mul_f64(RETIRE_PART);
-        let (slots, budget) = (RefCell::default(), Admit::new(most));
+        let (slots, budget) = (RefCell::default(), Budget::new(most));
         Pool(Rc::new(Inner { slots, budget, retire, connect, counters }))
     }
 
--- a/src/pg/frontend.rs
+++ b/src/pg/frontend.rs
@@ -1,7 +1,7 @@
 //! The client-facing side: what clients send, decoded, and what they are answered, encoded.
 
 use super::{MESSAGE_MOST, PgError, header, take, text};
-use crate::stages::admit::{Admit, Place};
+use crate::budget::{Budget, Place};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -61,7 +61,7 @@
 /// The codec; the first message has no type.
 pub struct FrontendCodec {
     started: bool,
-    memory: Admit,
+    memory: Budget,
     /// Memory for the message that is coming in, and for the one returned last.
     coming: Option<Place>,
     returned: Option<Place>,
@@ -69,13 +69,13 @@
 
 impl Default for FrontendCodec {
     fn default() -> FrontendCodec {
-        FrontendCodec::new(Admit::new(usize::MAX))
+        FrontendCodec::new(Budget::new(usize::MAX))
     }
 }
 
 impl FrontendCodec {
     /// A codec whose messages share `memory`, in bytes, with those of others.
-    pub fn new(memory: Admit) -> FrontendCodec {
+    pub fn new(memory: Budget) -> FrontendCodec {
         FrontendCodec { started: false, memory, coming: None, returned: None }
     }
 
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -2,7 +2,8 @@
 
 use crate::clients::desk::Desk;
 use crate::clients::doorway::Doorway;
-use crate::clients::listener::{self, Phase};
+use crate::clients::listener;
+use crate::clients::phase::Phase;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::counters::Counters;
@@ -92,8 +93,8 @@
     };
     let doorway = Doorway::new(bounds, clock);
     let intake = Intake::new(&site, clock);
-    let (held, memory) = (Admit::new(site.max_open), Admit::new(config.memory / MESSAGES_PART));
-    let desk = Rc::new(Desk::new(intake, held, memory, book.clone(), inbox.clone()));
+    let admit = Admit::new(site.max_open, config.memory / MESSAGES_PART);
+    let desk = Rc::new(Desk::new(intake, admit, book.clone(), inbox.clone()));
     let subscribe = Rc::new(Notify::new());
     let version = known.as_ref().map_or(0, |k| k.version);
     let router = Router::new(site.settings, config.seed, clock.now());
--- a/src/stages/admit.rs
+++ b/src/stages/admit.rs
@@ -1,53 +1,42 @@
-//! Admits a request or turns it away at the edge, by how many this process may hold.
-
-use std::cell::Cell;
-use std::rc::Rc;
-
-/// The stage; copies share their places.
-#[derive(Clone, Debug)]
-pub struct Admit {
-    open: Rc<Cell<usize>>,
-    most: usize,
-}
-
-/// A place among those held; given back when dropped.
-#[derive(Debug)]
-pub struct Place {
-    open: Rc<Cell<usize>>,
-    weight: usize,
+//! Admits a request or refuses it before the decisions see it, by what this process may hold.
+
+use crate::budget::{Budget, Place};
+
+/// What ran short where a request was refused before the decisions saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Edge {
+    /// Places at the door.
+    Door,
+    /// Room among the requests held.
+    Held,
+    /// Memory for its message.
+    Memory,
 }
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.open.set(self.open.get().saturating_sub(self.weight));
-    }
+/// The stage.
+pub struct Admit {
+    held: Budget,
+    memory: Budget,
 }
 
 impl Admit {
-    /// Admits so many at a time.
-    pub fn new(most: usize) -> Admit {
-        Admit { open: Rc::default(), most }
-    }
-
-    /// Whether all places are taken.
-    pub fn is_full(&self) -> bool {
-        self.open.get() >= self.most
+    /// Admits so many requests at a time, whose messages share so many bytes with what is still coming in.
+    pub fn new(requests: usize, bytes: usize) -> Admit {
+        Admit { held: Budget::new(requests), memory: Budget::new(bytes) }
     }
 
-    /// A place, or none when all are taken.
-    pub fn enter(&self) -> Option<Place> {
-        self.enter_by(1)
+    /// A place for a request until its answer, or why there is none.
+    pub fn request(&self) -> Result<Place, Edge> {
+        self.held.enter().ok_or(Edge::Held)
     }
 
-    /// Room for so much at once, or none when too little is left.
-    pub fn enter_by(&self, weight: usize) -> Option<Place> {
-        let open = self.open.get().checked_add(weight).filter(|open| *open <= self.most)?;
-        self.open.set(open);
-        Some(Place { open: self.open.clone(), weight })
+    /// The memory for messages, for whoever reads them.
+    pub fn memory(&self) -> Budget {
+        self.memory.clone()
     }
 
-    /// How much is held now.
+    /// Requests held now.
     pub fn held(&self) -> usize {
-        self.open.get()
+        self.held.held()
     }
 }
--- a/src/stages/book.rs
+++ b/src/stages/book.rs
@@ -1,6 +1,7 @@
 //! Books what was taken in, sent and answered.
 
 use super::Answer;
+use super::admit::Edge;
 use crate::api::Outcome;
 use crate::counters::Counters;
 use std::rc::Rc;
@@ -9,17 +10,6 @@
 #[derive(Clone)]
 pub struct Book(Rc<Counters>);
 
-/// What ran short where a request was refused before the decisions saw it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Edge {
-    /// Places at the door.
-    Door,
-    /// Room among the requests held.
-    Held,
-    /// Memory for its message.
-    Memory,
-}
-
 impl Book {
     /// Books into these counters.
     pub fn new(counters: Rc<Counters>) -> Book {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -6,9 +6,11 @@
 
 use futures_util::FutureExt;
 use linenhill::api::{MemberId, Outcome, RequestId, Span, Time};
+use linenhill::budget::Budget;
 use linenhill::clients::desk::Desk;
 use linenhill::clients::doorway::{Doorway, Seated};
-use linenhill::clients::listener::{self, Phase};
+use linenhill::clients::listener;
+use linenhill::clients::phase::Phase;
 use linenhill::clients::session;
 use linenhill::clock::Clock;
 use linenhill::close_reason::CloseReason;
@@ -89,7 +91,7 @@
     let (inbox, events) = mpsc::unbounded_channel();
     let intake = Intake::new(&config.site, Clock::start());
     let book = Book::new(Rc::new(Counters::default()));
-    (Rc::new(Desk::new(intake, Admit::new(9), Admit::new(256 * 1024), book, inbox)), events)
+    (Rc::new(Desk::new(intake, Admit::new(9, 256 * 1024), book, inbox)), events)
 }
 
 fn bounds(places: usize) -> Bounds {
@@ -415,7 +417,7 @@
     };
     let proxy = async {
         let long = Duration::from_secs(60);
-        let place = Admit::new(1).enter().expect("a place");
+        let place = Budget::new(1).enter().expect("a place");
         let Ok(mut link) = Link::open(at, place, long).await else { panic!("no link") };
         link.write(b"SELECT 1".as_slice().into()).await.expect("written");
         let reply = link.read().await;
