Let the PostgreSQL codec only parse; the front makes a neutral request of it

Need: `pg/statement` built the stages' own request and cut its text, so that no second protocol could stand beside it, and members imported the stages for the payload. `request` stands between the protocols now; `pg` gives a `Statement` with the place of the time left, and the session, which is the front, makes the request.

--- a/src/clients/desk.rs
+++ b/src/clients/desk.rs
@@ -2,10 +2,11 @@
 
 use crate::api::{ClassId, ReadLevel, RequestId, Span};
 use crate::budget::{Budget, Place};
+use crate::request::Incoming;
 use crate::stages::admit::{Admit, Edge};
 use crate::stages::book::Book;
 use crate::stages::intake::{Intake, IntakeError, OpenId};
-use crate::stages::{Answer, Incoming, Input, Taken};
+use crate::stages::{Answer, Input, Taken};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -8,7 +8,8 @@
 use crate::close_reason::CloseReason;
 use crate::pg::PgError;
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
-use crate::pg::statement::{self, StatementError};
+use crate::pg::statement::{self, Statement, StatementError};
+use crate::request::{Incoming, Payload};
 use crate::stages::Answer;
 use crate::stages::admit::Edge;
 use crate::stages::intake::IntakeError;
@@ -142,6 +143,13 @@
     Wire::Error { fatal: true, code, message: message.to_string(), detail: None }
 }
 
+/// A statement as the desk takes it: only the time that is left is written anew for each attempt.
+fn incoming(statement: Statement) -> Incoming {
+    let Statement { id, class, wait_ms, group, key, after_ms, whole, wait_at } = statement;
+    let payload = Payload::cut(&whole, wait_at);
+    Incoming { id, class, wait_ms, group, key, after_ms, payload }
+}
+
 /// A final answer in the protocol's words. Only a refusal uses 53300.
 fn wire(answer: Answer, fatal: bool) -> Wire {
     match answer {
@@ -223,7 +231,7 @@
             },
         };
         let incoming = match statement::parse(&statement) {
-            Ok(incoming) => incoming,
+            Ok(statement) => incoming(statement),
             Err(problem) => {
                 let wrong = matches!(problem, StatementError::Wrong(_));
                 return self.unread(if wrong { "22023" } else { "42601" }, problem);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod members;
 pub mod pg;
 pub mod proxy;
+pub mod request;
 pub mod stages;
 
 /// README's example is compiled with the tests.
--- a/src/members/attempt.rs
+++ b/src/members/attempt.rs
@@ -5,7 +5,7 @@
 use crate::members::link::{Link, Reply};
 use crate::members::pool::Pool;
 use crate::members::report;
-use crate::stages::Payload;
+use crate::request::Payload;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -1,8 +1,8 @@
-//! The comment that opens a client's statement: read for the decisions, and rendered anew for members.
+//! The comment that opens a client's statement, taken apart. What becomes of it is the front's work.
 
-use crate::stages::{Incoming, Payload};
 use bytes::Bytes;
 use std::fmt;
+use std::ops::Range;
 
 /// What is wrong with a statement, by the name of the field.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +27,27 @@
 
 impl std::error::Error for StatementError {}
 
+/// A statement and what its comment says of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    /// The client's id for the request.
+    pub id: String,
+    /// The class's name.
+    pub class: String,
+    /// How long the client waits, in milliseconds.
+    pub wait_ms: u64,
+    /// The group.
+    pub group: u32,
+    /// The first quoted text of the statement, which names the session.
+    pub key: Option<String>,
+    /// The position that the read must see, in Unix milliseconds.
+    pub after_ms: Option<u64>,
+    /// All of it.
+    pub whole: Bytes,
+    /// Where in it the time that the client waits is written.
+    pub wait_at: Range<usize>,
+}
+
 fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
     bytes.windows(what.len()).position(|w| w == what)
 }
@@ -37,7 +58,7 @@
 }
 
 /// Takes a statement apart.
-pub fn parse(statement: &Bytes) -> Result<Incoming, StatementError> {
+pub fn parse(statement: &Bytes) -> Result<Statement, StatementError> {
     let open = find(statement, b"/*").ok_or(StatementError::NoComment)?;
     if !is_empty(&statement[..open]) {
         return Err(StatementError::NoComment);
@@ -70,14 +91,15 @@
     }
     let id = id.ok_or(StatementError::Missing("id"))?.to_string();
     let (wait_ms, begin, end) = wait.ok_or(StatementError::Missing("d"))?;
-    Ok(Incoming {
+    Ok(Statement {
         id,
         class: class.ok_or(StatementError::Missing("c"))?.to_string(),
         wait_ms,
         group: group.unwrap_or(0),
         key: quoted(&statement[to + 2..]),
         after_ms: after.filter(|a| *a > 0),
-        payload: Payload::cut(statement, begin, end),
+        whole: statement.clone(),
+        wait_at: begin..end,
     })
 }
 
--- a/src/stages/intake.rs
+++ b/src/stages/intake.rs
@@ -1,8 +1,8 @@
 //! Takes a request in: names become numbers, waits become deadlines, positions become ages.
 
-use super::Incoming;
 use crate::api::{ClassId, GroupId, ReadLevel, Request, RequestId, SessionKey, Span};
 use crate::clock::Clock;
+use crate::request::Incoming;
 use crate::settings::Site;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -10,48 +10,11 @@
 
 use crate::api::{Ended, LoadReport, MemberId, Outcome, Request, RequestId, Span};
 use crate::discovery::list::News;
+use crate::request::Payload;
 use bytes::Bytes;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// A request as it will be passed on, cut open where the time left is written.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Payload {
-    head: Bytes,
-    tail: Bytes,
-}
-
-impl Payload {
-    /// Cuts `whole` so that what stands from `begin` to `end` is written anew for each attempt.
-    pub fn cut(whole: &Bytes, begin: usize, end: usize) -> Payload {
-        Payload { head: whole.slice(..begin), tail: whole.slice(end..) }
-    }
-
-    /// The request with this many milliseconds left.
-    pub fn render(&self, left_ms: u64) -> Bytes {
-        [&self.head[..], left_ms.to_string().as_bytes(), &self.tail[..]].concat().into()
-    }
-}
-
-/// A request as a protocol hands it in.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Incoming {
-    /// The client's id for it, of which one request may be open.
-    pub id: String,
-    /// The class's name.
-    pub class: String,
-    /// How long the client waits, in milliseconds.
-    pub wait_ms: u64,
-    /// The group.
-    pub group: u32,
-    /// The session's key, if there is one.
-    pub key: Option<String>,
-    /// The position that the read must see, in Unix milliseconds.
-    pub after_ms: Option<u64>,
-    /// What is passed on.
-    pub payload: Payload,
-}
-
 /// The one final answer of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/src/stages/send.rs
+++ b/src/stages/send.rs
@@ -1,10 +1,11 @@
 //! Carries out sends: one task for each attempt, called off on demand, and one ending for each.
 
+use super::Input;
 use super::book::Book;
-use super::{Input, Payload};
 use crate::api::{Ended, LoadReport, MemberId, Outcome, RequestId, Span};
 use crate::members::attempt::{self, Ending, Errand};
 use crate::members::pool::Pool;
+use crate::request::Payload;
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -9,6 +9,7 @@
 use linenhill::pg::backend::BackendCodec;
 use linenhill::pg::frontend::FrontendCodec;
 use linenhill::pg::statement;
+use linenhill::request::Payload;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::fmt::Debug;
 use std::path::Path;
@@ -136,7 +137,9 @@
     fn same(before: u32, left: u64, k: u64) -> bool {
         let text = |d: u64| format!("/* id=a,c=order,d={d},k={k:x},cluster=2 */ INSERT 'x' 'd=1'");
         let read = statement::parse(&Bytes::from(text(u64::from(before))));
-        read.is_ok_and(|r| r.wait_ms == u64::from(before) && r.payload.render(left) == text(left))
+        read.is_ok_and(|r| {
+            r.wait_ms == u64::from(before) && Payload::cut(&r.whole, r.wait_at).render(left) == text(left)
+        })
     }
     let mut random = QuickCheck::new().rng(Gen::from_size_and_seed(64, 8)).tests(200);
     random.quickcheck(same as fn(u32, u64, u64) -> bool);
