Give the program a command line: serve, completions, version and help

Need: the operator's file and its check need a place to be named; until now any argument was passed over and served. clap and clap_complete read it. No argument still serves, as the platform starts it; what does not exist is named and ends with exit code 2 (both tested on the program).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub use linenhill_settings as settings;
 
 pub mod budget;
+pub mod cli;
 pub mod clients;
 pub mod clock;
 pub mod close_reason;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,8 @@
 //! Starts the proxy: configuration, signals, log. Everything else is in the library.
 #![forbid(unsafe_code)]
 
+use clap::Parser;
+use linenhill::cli::{self, Cli, Command};
 use linenhill::config::{Config, Reading};
 use linenhill::counters::Counters;
 use linenhill::proxy;
@@ -13,6 +15,16 @@
 use tokio::sync::watch;
 
 fn main() -> ExitCode {
+    match Cli::parse().command() {
+        Command::Serve => serve_until_told(),
+        Command::Completions { shell } => {
+            cli::completions(shell, &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn serve_until_told() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     match start() {
         Ok(()) => ExitCode::SUCCESS,
