--- /dev/null
+++ b/crates/decisions/src/asking.rs
@@ -0,0 +1,55 @@
+//! When discovery is asked: a pure state machine, told what became of each call.
+//!
+//! All proxies share one discovery service that takes calls in turn, and what it turns away or what is given up
+//! still costs it a turn. Calls that come together therefore outlast themselves: whoever was turned away comes
+//! again with all the others. So the first call of a proxy that has a saved list has a slot of its own by its
+//! place in the fleet, and after a failure the gap is drawn from a window that holds a turn for each proxy,
+//! doubling up to two (`docs/design/fleet.md`).
+
+/// A turn that the service is taken to need for a call, in microseconds. A guess: its capacity is told nowhere.
+const TURN: u64 = 40_000;
+/// The windows of the smallest fleets: after a first failure, and the longest, in microseconds.
+const WINDOW: (u64, u64) = (250_000, 2_000_000);
+
+/// The state of asking, all times in microseconds on the caller's clock.
+pub struct Asking {
+    /// When the next call is due; none while one is out, or where lists come unasked.
+    at: Option<u64>,
+    slot: u64,
+    first: u64,
+    longest: u64,
+    window: u64,
+}
+
+impl Asking {
+    /// For proxy `me` of `fleet`. Without a list a call is due at once (`now`); `None` where lists come unasked.
+    /// Whoever asks for nothing for `within` counts as told, so no gap comes near it.
+    pub fn new(me: u32, fleet: u32, within: u64, now: Option<u64>) -> Asking {
+        let turns = u64::from(fleet.max(1)) * TURN;
+        let longest = WINDOW.1.max(2 * turns).min(within / 5 * 4).max(1);
+        let first = WINDOW.0.max(turns).min(longest);
+        let slot = (u64::from(me % fleet.max(1)) * TURN).min(longest);
+        Asking { at: now, slot, first, longest, window: first }
+    }
+
+    /// A saved list is at hand: the first call can wait for its slot, `chance` (0 to 1) of a turn after it begins.
+    pub fn known(&mut self, now: u64, chance: f64) {
+        self.at = self.at.map(|at| at.max(now + self.slot + (TURN as f64 * chance) as u64));
+    }
+
+    /// The call brought a list.
+    pub fn told(&mut self) {
+        self.window = self.first;
+    }
+
+    /// The call failed, or the watch ended; `chance` (0 to 1) places the next one in the later half of the window.
+    pub fn failed(&mut self, now: u64, chance: f64) {
+        self.at = Some(now + (self.window as f64 * (0.5 + 0.5 * chance)) as u64);
+        self.window = (self.window * 2).min(self.longest);
+    }
+
+    /// Whether a call is due; says so once.
+    pub fn due(&mut self, now: u64) -> bool {
+        self.at.take_if(|at| *at <= now).is_some()
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,10 +1,11 @@
-//! Everything that decides: which member gets a request, when, what happens after failures ([`policy`]), and who
-//! of the clients' connections is let in ([`door`]). State machines that are told what happened and when, and
+//! Everything that decides: which member gets a request, when, what happens after failures ([`policy`]), who of
+//! the clients' connections is let in ([`door`]), and when discovery is asked ([`asking`]). State machines that are told what happened and when, and
 //! push what is to be done; no I/O, no clock, no async, nothing of linenhill's other packages.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod asking;
 pub mod door;
 pub mod policy;
 mod state;
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -4,18 +4,19 @@
 
 impl Router {
     pub(super) fn on_list(&mut self, update: ListUpdate) {
+        let chance = self.rng.get_mut().f64();
         let (entries, whole) = match update {
             ListUpdate::Changes(e) => (e, false),
-            ListUpdate::Full(e) | ListUpdate::Cached(e) => (e, true),
-            ListUpdate::Failed => {
-                if self.set.discovery == Discovery::OnRequest {
-                    self.ask_at = Some(self.now + self.ask_gap);
-                    self.ask_gap = (self.ask_gap * 2).min(REASK.1).min(self.set.rules.ask_within.0 / 2);
-                }
-                return;
+            ListUpdate::Full(e) | ListUpdate::Cached(e) if e.is_empty() => (e, true),
+            ListUpdate::Full(e) => (e, true),
+            ListUpdate::Cached(e) => {
+                self.asking.known(self.now, chance);
+                (e, true)
             }
+            ListUpdate::Failed if self.set.discovery == Discovery::Pushed => return,
+            ListUpdate::Failed => return self.asking.failed(self.now, chance),
         };
-        self.ask_gap = REASK.0;
+        self.asking.told();
         entries.iter().for_each(|e| self.on_entry(e));
         if whole {
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.member).collect();
@@ -220,9 +221,8 @@
 
     pub(super) fn on_tick(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        if self.ask_at.is_some_and(|at| at <= now) {
+        if self.asking.due(now) {
             out.push(Action::Subscribe);
-            self.ask_at = None;
         }
         let walk = now >= self.walk_at;
         self.walk_at = if walk { now + WALK } else { self.walk_at };
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -84,8 +84,6 @@
 const HELD_MOST: usize = 400;
 const TRIES: usize = 24;
 const SESSIONS_MOST: usize = 50_000;
-/// Discovery is asked again after an error: first and longest gap.
-const REASK: (Us, Us) = (250 * MS, 2_000 * MS);
 /// Advice to refused clients: from this to twice this.
 const COME_BACK: Us = 150 * MS;
 
@@ -106,9 +104,7 @@
         Router {
             means: settings.classes.iter().map(first_guess).collect(),
             patience: settings.classes.iter().map(|c| c.aim.0 as f64).collect(),
-            ask_at: (settings.discovery == Discovery::OnRequest).then_some(now.0),
             probe_credit: PROBE_SPEND.1,
-            ask_gap: REASK.0,
             ..Router::blank(settings, fastrand::Rng::with_seed(seed), now.0)
         }
     }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,6 +1,7 @@
 //! What a router keeps in mind: plain records, no decisions. The decisions on them are in `policy/`.
 
 use crate::api::*;
+use crate::asking::Asking;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -113,8 +114,7 @@
     pub(crate) timer: u64,
     pub(crate) timer_at: Us,
     pub(crate) walk_at: Us,
-    pub(crate) ask_at: Option<Us>,
-    pub(crate) ask_gap: Us,
+    pub(crate) asking: Asking,
 }
 
 impl Router {
@@ -131,7 +131,9 @@
 
     /// An empty record.
     pub(crate) fn blank(set: Settings, rng: fastrand::Rng, now: Us) -> Router {
+        let first = (set.discovery == Discovery::OnRequest).then_some(now);
         Router {
+            asking: Asking::new(set.me, set.fleet_size, set.rules.ask_within.0, first),
             buckets: vec![(0.0, now); set.tenants.len()],
             set,
             rng: RefCell::new(rng),
@@ -150,8 +152,6 @@
             timer: 0,
             timer_at: 0,
             walk_at: 0,
-            ask_at: None,
-            ask_gap: 0,
         }
     }
 }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -18,6 +18,7 @@
         |aim: u64, effect, read| Class { aim: Span(aim * MS), effect, worth: 1.0, late_worth: 0.2, read };
     Settings {
         tick: Span(5 * MS),
+        me: 0,
         fleet_size: 1,
         zone: ZoneId(0),
         classes: vec![
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -131,6 +131,7 @@
     tick: Option<f64>,
     #[serde(rename = "fleetSize")]
     fleet_size: Option<u32>,
+    me: Option<u32>,
     zone: Option<String>,
     classes: Option<Vec<ClassInfo>>,
     tenants: Option<Vec<TenantInfo>>,
@@ -290,7 +291,11 @@
         let rules = need("rules", self.rules)?;
         let settings = Settings {
             tick: span("tick", self.tick)?,
-            fleet_size: need("fleetSize", self.fleet_size)?,
+            fleet_size: match need("fleetSize", self.fleet_size)? {
+                0 => return Err(wrong("fleetSize")),
+                proxies => proxies,
+            },
+            me: self.me.unwrap_or(0),
             zone: ZoneId(zones.number(&need("zone", self.zone)?)),
             classes,
             tenants,
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -19,8 +19,13 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
-/// A call that has not been answered by then has failed; discovery gives up on one sooner.
-const ANSWER_WITHIN: Duration = Duration::from_millis(1_500);
+/// A connection that is not up by then has failed.
+const CONNECT_WITHIN: Duration = Duration::from_millis(1_500);
+/// A call waits in turn behind those of all other proxies. Given up, it would still cost a turn, and the next one
+/// would wait behind it: so it may take this part of the time after which silence counts as having been told, ...
+const ANSWER_PART: f64 = 0.75;
+/// ... between these bounds.
+const ANSWER_WITHIN: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(10));
 /// A watch says something every 2 s, if only an empty line: silent for this long, it is dead.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
 
@@ -28,8 +33,9 @@
 /// discovery moves, a new watch begins there at once, from the version known.
 pub async fn run(
     mut at: watch::Receiver<SocketAddr>, mut version: u64, asked: Rc<Notify>,
-    inbox: mpsc::UnboundedSender<Input>, counters: Rc<Counters>,
+    inbox: mpsc::UnboundedSender<Input>, counters: Rc<Counters>, ask_within: Duration,
 ) {
+    let within = answer_within(ask_within);
     loop {
         tokio::select! {
             () = asked.notified() => {}
@@ -39,7 +45,7 @@
             let addr = *at.borrow_and_update();
             counters.calls.add();
             let ended = tokio::select! {
-                reason = watch(addr, &mut version, &inbox) => Some(reason),
+                reason = watch(addr, &mut version, &inbox, within) => Some(reason),
                 () = moved(&mut at) => None,
             };
             log_close(Side::Discovery, addr, ended.unwrap_or(CloseReason::Moved));
@@ -61,7 +67,14 @@
     }
 }
 
-async fn watch(addr: SocketAddr, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>) -> CloseReason {
+/// How long a call may wait for its answer, where silence counts as having been told after `ask_within`.
+pub fn answer_within(ask_within: Duration) -> Duration {
+    ask_within.min(ANSWER_WITHIN.1 * 2).mul_f64(ANSWER_PART).clamp(ANSWER_WITHIN.0, ANSWER_WITHIN.1)
+}
+
+async fn watch(
+    addr: SocketAddr, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
+) -> CloseReason {
     let call = format!("GET /v1/endpoints?watch=1&from={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
     let connect = async {
         let mut stream = TcpStream::connect(addr).await?;
@@ -69,20 +82,21 @@
         stream.write_all(call.as_bytes()).await?;
         Ok::<TcpStream, std::io::Error>(stream)
     };
-    let stream = match timeout(ANSWER_WITHIN, connect).await {
+    let stream = match timeout(CONNECT_WITHIN, connect).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) => return CloseReason::Refused,
         Err(_) => return CloseReason::ConnectTimeout,
     };
-    follow(stream, version, inbox).await
+    follow(stream, version, inbox, within).await
 }
 
-/// Passes on what a watch brings until it ends; `version` is that of the last list taken.
+/// Passes on what a watch brings until it ends; `version` is that of the last list taken. Its first word may take
+/// `within`.
 pub async fn follow(
-    stream: impl AsyncRead + Unpin, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>,
+    stream: impl AsyncRead + Unpin, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
 ) -> CloseReason {
     let mut pieces = FramedRead::new(stream, WatchCodec::default());
-    let mut patience = ANSWER_WITHIN;
+    let mut patience = within;
     loop {
         let line = match timeout(patience, pieces.next()).await {
             Err(_) => return CloseReason::Silent,
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -97,6 +97,7 @@
     let desk = Rc::new(Desk::new(intake, admit, book.clone(), inbox.clone()));
     let subscribe = Rc::new(Notify::new());
     let version = known.as_ref().map_or(0, |k| k.version);
+    let ask_within = Duration::from_micros(site.settings.rules.ask_within.0);
     let router = Router::new(site.settings, config.seed, clock.now());
     let relay = Relay::new(book);
     if let Some(known) = known {
@@ -104,7 +105,7 @@
     }
     let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe.clone());
     let driver = spawn_local(route.run());
-    spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone()));
+    spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone(), ask_within));
     spawn_local(pool.look_after());
     spawn_local(doorway.clone().look_after());
     let (tell, phase) = watch::channel(Phase::Serving);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -44,6 +44,9 @@
     format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
 }
 
+/// How long the first word of a watch may take here.
+const WITHIN: Duration = Duration::from_millis(7_500);
+
 /// Follows a watch that is told these parts, 2 s apart; what came of it, and why it ended.
 async fn follow(parts: Vec<String>) -> (u64, usize, CloseReason) {
     let (inbox, mut events) = mpsc::unbounded_channel();
@@ -57,7 +60,7 @@
     };
     let mut version = 41;
     let reason = tokio::select! {
-        reason = discovery::follow(stream, &mut version, &inbox) => reason,
+        reason = discovery::follow(stream, &mut version, &inbox, WITHIN) => reason,
         () = told => unreachable!(),
     };
     let mut lists = 0;
@@ -76,6 +79,11 @@
     let parts = [vec![HEAD.to_string()], alive.to_vec()].concat();
     assert_eq!(follow(parts).await, (43, 1, CloseReason::Silent));
     assert_eq!(follow(vec![]).await, (41, 0, CloseReason::Silent));
+    // A call that waits in turn for 4 s is not given up: the next one would wait behind it.
+    let late = [vec![String::new(), String::new(), HEAD.to_string()], vec![chunk(list)]].concat();
+    assert_eq!(follow(late).await, (43, 1, CloseReason::Silent));
+    assert_eq!(discovery::answer_within(Duration::from_secs(10)), WITHIN);
+    assert_eq!(discovery::answer_within(Duration::MAX), Duration::from_secs(10));
     let busy = "HTTP/1.1 503 Service Unavailable\r\n\r\n".to_string();
     assert_eq!(follow(vec![busy]).await, (41, 0, CloseReason::Status));
     assert_eq!(follow(vec![format!("{HEAD}0\r\n\r\n")]).await, (41, 0, CloseReason::WatchEnded));
