--- a/crates/decisions/src/policy/holds.rs
+++ b/crates/decisions/src/policy/holds.rs
@@ -10,7 +10,8 @@
         }
         let now = self.now;
         let save = |had: f64, spend: (f64, f64), price: f64| (had + spend.0 / price.max(1e-6)).min(spend.1);
-        self.probe_credit = save(self.probe_credit, PROBE_SPEND, self.set.prices.probe);
+        let spend = (PROBE_SPEND.0, PROBE_SPEND.1.min(self.shared(PROBE_SPEND.2)).max(1.0));
+        self.probe_credit = save(self.probe_credit, spend, self.set.prices.probe);
         self.tell_credit = save(self.tell_credit, TELL_SPEND, self.set.prices.peer);
         self.copies = (self.copies + COPIES.0).min(COPIES.1);
         let mut worth = self.set.classes[class].worth;
@@ -62,8 +63,9 @@
         match self.set.classes[r.class].read {
             ReadLevel::Write => {
                 // A primary that was silent or away gets one write at a time to show whether it is back.
-                let named = self.groups.get(&r.group).and_then(|g| g.primary);
-                named.filter(|p| may_try(&self.members[p]) && room(*p))
+                let g = self.groups.get(&r.group)?;
+                let named = g.primary.filter(|p| may_try(&self.members[p]) && room(*p));
+                named.or_else(|| self.guess(r, g))
             }
             ReadLevel::Fresh => {
                 if let Some(p) = self.trusted(r.group) {
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -216,7 +216,7 @@
     /// A few by chance: hundreds of routers must not each ask every member.
     pub(super) fn probe_some(&mut self, mut ids: Vec<MemberId>, out: &mut Vec<Action>) {
         self.rng.get_mut().shuffle(&mut ids);
-        ids.into_iter().take(self.shared(LIMIT.0).max(2.0) as usize).for_each(|id| self.probe(id, out));
+        ids.into_iter().take(self.shared(LIMIT.0).max(1.0) as usize).for_each(|id| self.probe(id, out));
     }
 
     pub(super) fn on_tick(&mut self, out: &mut Vec<Action>) {
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -35,13 +35,17 @@
 const REPORT_AGE: Us = 400 * MS;
 /// A turned-away read doesn't go back to the same replica sooner.
 const MISS_REST: Us = 60 * MS;
-/// What background probes and words to peers may cost of the result, and the most saved up; shortest gaps.
-const PROBE_SPEND: (f64, f64) = (0.004, 20.0);
+/// What background probes and words to peers may cost of the result, and the most saved up (of probes: here, and
+/// over the fleet); shortest gaps.
+const PROBE_SPEND: (f64, f64, f64) = (0.004, 20.0, 60.0);
 const TELL_SPEND: (f64, f64) = (0.015, 1_000.0);
 const PROBE_EVERY: Us = 200 * MS;
 const TELL_STEP: Us = 100 * MS;
 /// Gap between probes that look for a primary or a fresh replica.
 const SEEK_EVERY: Us = 100 * MS;
+/// The search's part for each router of the fleet, and the attempts of a write that may go on guesses.
+const SEEK_SHARE: Us = 5 * MS;
+const GUESSES: u32 = 3;
 /// Silence: no answer for the first + second / in flight of its usual latencies, the third at least.
 const SILENT: (f64, f64, f64) = (2.0, 5.0, 120_000.0);
 /// An ill member gets a trial this long after, doubling.
@@ -104,7 +108,7 @@
         Router {
             means: settings.classes.iter().map(first_guess).collect(),
             patience: settings.classes.iter().map(|c| c.aim.0 as f64).collect(),
-            probe_credit: PROBE_SPEND.1,
+            probe_credit: 0.0,
             ..Router::blank(settings, fastrand::Rng::with_seed(seed), now.0)
         }
     }
--- a/crates/decisions/src/policy/primary.rs
+++ b/crates/decisions/src/policy/primary.rs
@@ -26,12 +26,28 @@
         self.primary(group).filter(|id| self.set.check != ReplicaCheck::None || self.members[id].proven)
     }
 
+    /// Where a write may look for the primary while none is known: who isn't it turns it away at once, untouched,
+    /// and that tells as much as a probe. Not one that has just said so. Harm: a connection, and an attempt.
+    pub(super) fn guess(&self, r: &Held, g: &Group) -> Option<MemberId> {
+        let gap = self.seek_gap() + REPORT_AGE;
+        let open = |m: &Member| well(m) && self.room(r, m) && self.now >= m.replica_at + gap;
+        let fits = |id: &&MemberId| !r.missed.contains_key(*id) && self.members.get(*id).is_some_and(open);
+        let search = self.primary(r.group).is_none() && r.attempts < GUESSES;
+        let fits: Vec<&MemberId> = g.members.iter().filter(fits).collect();
+        self.rng.borrow_mut().choice(fits).filter(|_| search).copied()
+    }
+
+    /// Each router of a fleet looks for itself: the more there are, the longer the gaps.
+    fn seek_gap(&self) -> Us {
+        SEEK_EVERY.max(u64::from(self.set.fleet_size) * SEEK_SHARE)
+    }
+
     /// Looks for the primary while there is none and work that only it can do waits.
     pub(super) fn seek(&mut self, group: GroupId, out: &mut Vec<Action>) {
-        let (now, known) = (self.now, self.primary(group).is_some());
+        let (now, known, gap) = (self.now, self.primary(group).is_some(), self.seek_gap());
         let Some(g) = self.groups.get_mut(&group) else { return };
         if !known && now >= g.seek_at && g.first_held > 0 {
-            g.seek_at = now + SEEK_EVERY;
+            g.seek_at = now + gap;
             let ids = g.members.iter().copied().collect();
             self.probe_some(ids, out);
         }
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -118,8 +118,12 @@
     assert_eq!(rig.sends(write), [1]);
     rig.wait(1_000);
     assert!(rig.out.contains(&Action::Probe { member: MemberId(1) }));
+    // A replica's position says nothing of when it was told; their word of not being primary does.
+    (2..=3).for_each(|m| rig.report(m, rig.now - 5_000 * MS, Role::Replica));
+    rig.wait(100);
+    (2..=3).for_each(|m| rig.report(m, rig.now - 5_000 * MS, Role::Replica));
     let later = rig.ask(WRITE, 5_000, None);
-    assert!(rig.sends(later).is_empty());
+    assert!(rig.sends(later).is_empty(), "nor do those that are no primary get it: {:?}", rig.sends(later));
     rig.report(1, rig.now - 900 * MS, Role::Primary);
     assert_eq!(rig.sends(later), [1], "one request may try what a probe says lives");
     let third = rig.ask(WRITE, 5_000, None);
@@ -264,3 +268,72 @@
     rig.wait(50);
     assert_eq!(rig.probes(), before, "four of six are fresh, one read each is all they take");
 }
+
+/// One second of a hundred routers that each hold a write for a group without a primary; every probe and every
+/// attempt is answered by a replica at once. The probes and the attempts of all.
+fn search(fleet: u32) -> (usize, usize) {
+    let (mut probes, mut guesses) = (0, 0);
+    for me in 0..fleet {
+        let mut rig = Rig::seeded(Settings { fleet_size: fleet, me, ..settings() }, u64::from(me));
+        rig.list((1..=5).map(entry).collect());
+        (1..=5).for_each(|m| rig.report(m, rig.now - 500 * MS, Role::Replica));
+        let write = rig.ask(WRITE, 4_000, None);
+        let mut answered = rig.sends(write).len();
+        let mut asked = 0;
+        for _ in 0..100 {
+            let members = rig.sends(write);
+            for (n, member) in members.iter().enumerate().skip(answered) {
+                rig.answer(write, n as u32, *member, Outcome::Miss, 2, None, Some(Role::Replica));
+            }
+            answered = members.len();
+            let out: Vec<u32> = rig
+                .out
+                .iter()
+                .filter_map(|a| match a {
+                    Action::Probe { member } => Some(member.0),
+                    _ => None,
+                })
+                .collect();
+            out.iter().skip(asked).for_each(|m| rig.report(*m, rig.now - 500 * MS, Role::Replica));
+            asked = out.len();
+            rig.wait(10);
+        }
+        (probes, guesses) = (probes + rig.probes(), guesses + rig.sends(write).len());
+    }
+    (probes, guesses)
+}
+
+// Guards against searches that are small at each router and crowd the members together: two probes in 100 ms from
+// each of a hundred are 2,000 a second for each group without a primary.
+#[test]
+fn a_hundred_routers_look_for_a_primary_with_a_few_probes_each() {
+    let (probes, guesses) = search(100);
+    assert!((100..=400).contains(&probes), "{probes} probes in a second");
+    assert!(guesses <= 300, "{guesses} attempts in a second");
+}
+
+// Guards against paying for a search where the write itself would find the primary: it is turned away untouched.
+#[test]
+fn a_write_finds_a_primary_that_nobody_named_without_a_probe() {
+    for seed in 0..50 {
+        let mut rig = Rig::seeded(Settings { fleet_size: 100, ..settings() }, seed);
+        rig.list((1..=4).map(entry).collect());
+        let write = rig.ask(WRITE, 4_000, None);
+        for n in 0.. {
+            let sent = rig.sends(write);
+            let Some(member) = sent.get(n).copied() else {
+                assert_eq!(n, 3, "three guesses at most, and never two at one member");
+                break;
+            };
+            assert!(!sent[..n].contains(&member));
+            if member == 1 {
+                rig.answer(write, n as u32, 1, Outcome::Ok, 5, Some(rig.now), Some(Role::Primary));
+                let next = rig.ask(WRITE, 4_000, None);
+                assert_eq!(rig.sends(next), [1], "and the next write knows");
+                break;
+            }
+            rig.answer(write, n as u32, member, Outcome::Miss, 2, None, Some(Role::Replica));
+        }
+        assert_eq!(rig.probes(), 0);
+    }
+}
