Guess only for a primary unnamed or ill for a second; tests follow writes that look

Change: a write looks elsewhere only when no primary is named, or the one named is ill for a second; each router begins with one background probe saved.

--- a/crates/decisions/src/policy/holds.rs
+++ b/crates/decisions/src/policy/holds.rs
@@ -10,7 +10,7 @@
         }
         let now = self.now;
         let save = |had: f64, spend: (f64, f64), price: f64| (had + spend.0 / price.max(1e-6)).min(spend.1);
-        let spend = (PROBE_SPEND.0, PROBE_SPEND.1.min(self.shared(PROBE_SPEND.2)).max(1.0));
+        let spend = (PROBE_SPEND.0, self.shared(PROBE_SPEND.2).clamp(1.0, PROBE_SPEND.1));
         self.probe_credit = save(self.probe_credit, spend, self.set.prices.probe);
         self.tell_credit = save(self.tell_credit, TELL_SPEND, self.set.prices.peer);
         self.copies = (self.copies + COPIES.0).min(COPIES.1);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -35,8 +35,8 @@
 const REPORT_AGE: Us = 400 * MS;
 /// A turned-away read doesn't go back to the same replica sooner.
 const MISS_REST: Us = 60 * MS;
-/// What background probes and words to peers may cost of the result, and the most saved up (of probes: here, and
-/// over the fleet); shortest gaps.
+/// What background probes and words to peers may cost of the result, and the most saved up; of probes also over
+/// the fleet. Shortest gaps.
 const PROBE_SPEND: (f64, f64, f64) = (0.004, 20.0, 60.0);
 const TELL_SPEND: (f64, f64) = (0.015, 1_000.0);
 const PROBE_EVERY: Us = 200 * MS;
@@ -108,7 +108,7 @@
         Router {
             means: settings.classes.iter().map(first_guess).collect(),
             patience: settings.classes.iter().map(|c| c.aim.0 as f64).collect(),
-            probe_credit: 0.0,
+            probe_credit: 1.0,
             ..Router::blank(settings, fastrand::Rng::with_seed(seed), now.0)
         }
     }
--- a/crates/decisions/src/policy/primary.rs
+++ b/crates/decisions/src/policy/primary.rs
@@ -26,13 +26,15 @@
         self.primary(group).filter(|id| self.set.check != ReplicaCheck::None || self.members[id].proven)
     }
 
-    /// Where a write may look for the primary while none is known: who isn't it turns it away at once, untouched,
-    /// and that tells as much as a probe. Not one that has just said so. Harm: a connection, and an attempt.
+    /// Where a write may look for the primary while none is known, or the one known is ill for long: others turn
+    /// it away at once, untouched, and that tells as much as a probe. Harm: a connection, and an attempt.
     pub(super) fn guess(&self, r: &Held, g: &Group) -> Option<MemberId> {
         let gap = self.seek_gap() + REPORT_AGE;
         let open = |m: &Member| well(m) && self.room(r, m) && self.now >= m.replica_at + gap;
         let fits = |id: &&MemberId| !r.missed.contains_key(*id) && self.members.get(*id).is_some_and(open);
-        let search = self.primary(r.group).is_none() && r.attempts < GUESSES;
+        let long = |m: &Member| m.ill.as_ref().is_none_or(|i| i.since + ALIVE < self.now);
+        let lost = g.primary.map(|p| &self.members[&p]).is_none_or(|m| !may_try(m) && long(m));
+        let search = lost && r.attempts < GUESSES;
         let fits: Vec<&MemberId> = g.members.iter().filter(fits).collect();
         self.rng.borrow_mut().choice(fits).filter(|_| search).copied()
     }
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -101,12 +101,18 @@
     let mut rig = Rig::empty(settings());
     rig.list((1..=3).map(entry).collect());
     let write = rig.ask(WRITE, 1_000, None);
+    let mut guesses = 0;
     for _ in 0..100 {
         rig.wait(10);
         for m in 1..=3 {
             rig.report(m, rig.now - 500 * MS, Role::Replica);
         }
+        for (n, member) in rig.sends(write).into_iter().enumerate().skip(guesses) {
+            rig.answer(write, n as u32, member, Outcome::Miss, 2, None, Some(Role::Replica));
+            guesses += 1;
+        }
     }
+    assert!((1..=3).contains(&guesses), "it looks for itself, and keeps attempts for when one is found");
     assert_eq!(rig.finals(write), 1);
     assert!(rig.probes() < 3 * 20, "{} probes in a second", rig.probes());
 }
