--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -35,8 +35,8 @@
 const REPORT_AGE: Us = 400 * MS;
 /// A turned-away read doesn't go back to the same replica sooner.
 const MISS_REST: Us = 60 * MS;
-/// What background probes and words to peers may cost of the result, and the most saved up; of probes also over
-/// the fleet. Shortest gaps.
+/// What background probes and words to peers may cost of the result, and the most saved up, of probes also
+/// over the fleet. Shortest gaps.
 const PROBE_SPEND: (f64, f64, f64) = (0.004, 20.0, 60.0);
 const TELL_SPEND: (f64, f64) = (0.015, 1_000.0);
 const PROBE_EVERY: Us = 200 * MS;
--- a/crates/decisions/src/policy/primary.rs
+++ b/crates/decisions/src/policy/primary.rs
@@ -26,8 +26,8 @@
         self.primary(group).filter(|id| self.set.check != ReplicaCheck::None || self.members[id].proven)
     }
 
-    /// Where a write may look for the primary while none is known, or the one known is ill for long: others turn
-    /// it away at once, untouched, and that tells as much as a probe. Harm: a connection, and an attempt.
+    /// Where a write may look for the primary while none is known, or the one known is ill for long: others
+    /// turn it away at once, untouched: that tells as much as a probe. Harm: a connection, and an attempt.
     pub(super) fn guess(&self, r: &Held, g: &Group) -> Option<MemberId> {
         let gap = self.seek_gap() + REPORT_AGE;
         let open = |m: &Member| well(m) && self.room(r, m) && self.now >= m.replica_at + gap;
