--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -306,6 +306,8 @@
     pub role: Option<Role>,
     /// Requests held, running or queued, whichever the site reports.
     pub load: Option<f64>,
+    /// Share of its processors in use, 0 to 1.
+    pub util: Option<f64>,
 }
 
 /// A client's request.
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -39,6 +39,10 @@
                     let extra = end.latency.0 as f64 / self.means[class].max(1.0) - 1.0;
                     self.link_cost += LINK_COST.0 * (extra.clamp(0.0, LINK_COST.1) - self.link_cost);
                 }
+                if let (Some(used), true) = (end.report.util, m.cold_since.is_some()) {
+                    m.pace = (PACE.0 / used.max(0.1)).clamp(1.0 / PACE.1, PACE.1);
+                    self.pace = (self.pace * m.pace.powf(PACE.2)).clamp(1.0 / PACE.3, PACE.3);
+                }
                 (m.refused, m.linked_at, m.passed) = (0, Some(now), m.passed.max(sent));
                 if now < self.squeezed_until && m.open.is_empty() {
                     m.linked_at = None;
@@ -107,9 +111,8 @@
         self.pump(group, out);
     }
 
-    /// No connection. A member never or long not heard of is unreachable, whatever a list says. One that just
-    /// answered is out of connections: it rests, longer each time, and idle connections are given back, since
-    /// what one router keeps another lacks. Harm: one that has just died is tried a few times more.
+    /// No connection. A member never or long not heard of is unreachable. One that just answered is out of
+    /// connections: it rests, and idle ones are given back. Harm: one that has just died is tried again.
     fn on_refused(&mut self, member: MemberId, took: Us, out: &mut Vec<Action>) {
         let (now, chance) = (self.now, 0.5 + self.rng.get_mut().f64());
         let Some(m) = self.members.get_mut(&member) else { return };
@@ -120,8 +123,7 @@
             return self.fall_ill(member, true, took < self.set.limits.connect_timeout.0 / 2);
         }
         m.rest_until = now + ((TICK << m.refused) as f64 * chance) as Us;
-        // Turned down at once, not timed out on a slow handshake: then open connections are worth keeping.
-        // Once alone is a connection that broke, not a member without any left.
+        // Turned down at once, not timed out on a slow handshake, and not once alone: that is one that broke.
         if m.refused > 1 && took < self.set.limits.connect_timeout.0 / 2 {
             self.squeezed_until = now + ALIVE;
         }
--- a/crates/decisions/src/policy/draw.rs
+++ b/crates/decisions/src/policy/draw.rs
@@ -48,10 +48,10 @@
                 continue;
             }
             let far = f64::from(u8::from(m.zone != Some(self.set.zone))) * 10.0 * self.set.prices.cross_zone;
-            let load = m.ratio.max(0.2) * (m.open.len() as f64 + 1.0) / self.warmth(m);
+            let load = m.ratio.max(0.2) * (m.open.len() as f64 + 1.0) / self.warmth(m).powf(1.0 / SHARPNESS);
             let linked = m.linked_at.is_some_and(|t| self.now < t + self.set.limits.idle_close.0);
             let cost = load * (1.0 + far) * if linked { 1.0 } else { 1.0 + self.link_cost };
-            // Long reads can stall a replica's log: spread out, they keep all behind. Reads of any age gather
+            // Long reads can stall a log: spread out, they keep all behind. Reads of any age gather
             // on the one furthest behind, alike at all routers. Harm: it is slow to be promoted.
             let lag = self.now.saturating_sub(m.position) as f64 / furthest;
             let spare = if target == 0 { 1.0 + lag } else { 1.0 };
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -53,11 +53,11 @@
         let (cold, limit) = (self.set.rules.cold.0, self.shared(LIMIT.0).min(LIMIT_ONE.0));
         let m = self.members.entry(e.member).or_insert_with(|| {
             let cold_since = (started > 0 && now < started + cold).then_some(started);
-            Member { started, cold_since, ratio: 1.0, limit, ..Member::default() }
+            Member { started, cold_since, ratio: 1.0, pace: 1.0, limit, ..Member::default() }
         });
         if started > m.started {
             // A restart: cold, and the old role is void; what it had applied it still has.
-            (m.started, m.cold_since, m.permit_at) = (started, Some(started), 0);
+            (m.started, m.cold_since, m.permit_at, m.pace) = (started, Some(started), 0, 1.0);
             (m.primary_at, m.limit) = (0, limit);
         }
         (m.zone, m.group, m.state, m.absent_since) = (Some(e.zone), Some(e.group), e.state, None);
@@ -75,13 +75,15 @@
     }
 
     /// When this router may next send to a cold member. The mean gap keeps all routers at part of what a few
-    /// cores bear by the rules' slowest ramp; chance keeps apart those that learn of the start together; an
-    /// unused permit lapses, or all would save up one request each and spend them at once.
+    /// cores bear by the rules' slowest ramp, times its pace; chance keeps apart those that learn of a start
+    /// together; an unused permit counts for a while, then lapses, or all would save up one each.
     pub(super) fn next_permit(&mut self, id: MemberId, work: f64) {
         let Some(m) = self.members.get(&id) else { return };
         let share = self.shared(self.set.rules.fall_multiple * COLD_CORES);
-        let gap = work.max(1.0) / (self.warmth(m) * share).max(1e-9);
-        let at = self.now + (2.0 * gap * self.rng.get_mut().f64()) as Us;
+        let gap = work.max(1.0) / (self.warmth(m) * share * m.pace * self.pace).max(1e-9);
+        let unused = m.permit_at.clamp(self.now.saturating_sub(self.set.rules.fall.0 / 2), self.now);
+        let from = if m.permit_at > 0 { unused } else { self.now };
+        let at = from + (2.0 * gap * self.rng.get_mut().f64()) as Us;
         self.members.entry(id).and_modify(|m| m.permit_at = at);
     }
 
@@ -98,7 +100,7 @@
             // fails at once; none that did means a cut, and a restart behind one the list will tell.
             let gone = ill.dead && ill.down && now - ill.since > 1_000 * MS;
             if gone && m.cold_since.is_none_or(|c| c + started_cold < now) {
-                (m.cold_since, m.permit_at) = (Some(now), 0);
+                (m.cold_since, m.permit_at, m.pace) = (Some(now), 0, 1.0);
             }
             m.ill = None;
             m.ratio = m.ratio.min(2.0);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -66,6 +66,9 @@
 const STRAIN: (f64, f64) = (0.4, 0.65);
 /// Cores' worth of bearable work that all routers together may give a cold member.
 const COLD_CORES: f64 = 3.0;
+/// The use of its processors that a cold member is brought to; the most by which its own word changes its
+/// pace, the part of that which counts for all cold ones, and the most by which theirs changes.
+const PACE: (f64, f64, f64, f64) = (0.8, 2.0, 0.15, 3.0);
 /// What was learned of a member outlives its absence this long.
 const KEEP_ABSENT: Us = 60_000 * MS;
 /// Second copies: budget per request, the most saved up, and after how many expected latencies one is sent.
@@ -79,9 +82,8 @@
 const REFUSALS: u32 = 5;
 /// What a new connection costs, in mean latencies: smoothing, and what a failed one counts.
 const LINK_COST: (f64, f64) = (0.1, 5.0);
-/// What has less left than so many mean latencies, or this part of its aim if that is less, mostly comes too
-/// late: it goes only to a member that has less than SPARE of its limit in flight, or is let go. The second
-/// bound keeps a slow time from ruling out fresh requests, and with them the news that it is over.
+/// What has less left than so many mean latencies, or this part of its aim if that is less (in a slow time
+/// news that it is over must come in), goes only where less than SPARE of the limit is out, or is let go.
 const LEAD: (f64, f64) = (2.0, 0.7);
 const SPARE: f64 = 0.5;
 /// Held requests and remembered sessions per group: bounds on memory and on work per event.
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -118,7 +118,7 @@
     }
 
     pub fn report(&mut self, member: u32, position: u64, role: Role) {
-        let report = LoadReport { position: Some(Time(position)), role: Some(role), load: None };
+        let report = LoadReport { position: Some(Time(position)), role: Some(role), ..LoadReport::default() };
         self.event(Event::Probed { member: MemberId(member), outcome: Outcome::Ok, report });
     }
 
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -337,3 +337,57 @@
         assert_eq!(rig.probes(), 0);
     }
 }
+
+/// A hundred routers before six cold members, that each ask for a read every 100 ms; each read takes 50 ms, and the
+/// members say that this part of their processors is in use. The sends in each second of six.
+fn cold_start(used: f64) -> Vec<usize> {
+    let fleet = 100u32;
+    let mut sent = vec![0; 6];
+    for me in 0..fleet {
+        let mut s = Settings { fleet_size: fleet, me, check: ReplicaCheck::Refuse, ..settings() };
+        (s.rules.cold, s.rules.fall) = (Span(10_000 * MS), Span(3_000 * MS));
+        let mut rig = Rig::seeded(s, u64::from(me));
+        let started = Some(Time(rig.now));
+        rig.list((1..=7).map(|m| ListEntry { started: started.filter(|_| m > 1), ..entry(m) }).collect());
+        rig.report(1, rig.now, Role::Primary);
+        for step in 0..60u64 {
+            let read = rig.ask(ANY, 90, None);
+            rig.wait(50);
+            if let Some(member) = rig.sends(read).first().copied().filter(|m| *m > 1) {
+                sent[(step / 10) as usize] += 1;
+                rig.event(Event::AttemptEnded(Ended {
+                    id: read,
+                    attempt: 0,
+                    member: MemberId(member),
+                    outcome: Outcome::Ok,
+                    latency: Span(50 * MS),
+                    closed: true,
+                    position: Some(Time(rig.now)),
+                    role: Some(Role::Replica),
+                    report: LoadReport { util: Some(used), ..LoadReport::default() },
+                }));
+            }
+            rig.wait(50);
+        }
+    }
+    sent
+}
+
+// Guards against starving cold members: where each router sees one once in seconds, a gap that begins anew at each
+// use leaves most of what they bear unused, as their own word of their processors shows; one router hears too little
+// of any one of them, so the word of one counts for all. And against the opposite: over every window of the rule,
+// all routers together stay under what is borne by four cores' worth of the slowest ramp, whatever is said.
+#[test]
+fn cold_members_are_brought_to_the_use_that_they_bear_and_never_over_the_rule() {
+    let (idle, busy) = (cold_start(0.2), cold_start(1.0));
+    let late = |sent: &[usize]| sent[3..].iter().sum::<usize>();
+    assert!(late(&idle) * 4 > late(&busy) * 5, "idle {idle:?}, busy {busy:?}");
+    for (name, sent) in [("idle", &idle), ("busy", &busy)] {
+        for (from, window) in sent.windows(3).enumerate() {
+            let warmth: f64 = (from..from + 3).map(|s| 0.2 + 0.08 * s as f64).sum();
+            let bound = 3.0 * warmth * 4.0 * 6.0 / 0.05;
+            let sum = window.iter().sum::<usize>() as f64;
+            assert!(sum < bound, "{name}: {window:?} from second {from}, over {bound}");
+        }
+    }
+}
--- a/src/bin/linenhill-benchlink/wire.rs
+++ b/src/bin/linenhill-benchlink/wire.rs
@@ -113,6 +113,7 @@
                 }
                 "x1" => report.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
                 "busy_reqs" | "pending" => report.load = Some(value),
+                "cpu_share" => report.util = Some(value.clamp(0.0, 1.0)),
                 _ => {}
             }
         }
--- a/src/members/report.rs
+++ b/src/members/report.rs
@@ -15,6 +15,7 @@
             "x0" if value > 0.0 => report.position = Some(Time((value * 1e6) as u64)),
             "x1" => report.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
             "inflight" | "queue" => report.load = Some(value),
+            "util" | "cpu_share" => report.util = Some(value.clamp(0.0, 1.0)),
             _ => {}
         }
     }
