--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod api;
 pub mod asking;
 pub mod door;
+pub mod outage;
 pub mod policy;
+pub mod recovery;
 mod state;
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -10,10 +10,7 @@
             self.next_permit(member, self.means[class]);
         }
         let (Some(r), Some(m)) = (self.requests.get_mut(&id), self.members.get_mut(&member)) else { return };
-        if let Some(ill) = &mut m.ill {
-            (ill.ready, ill.trial_at) = (false, now + ill.backoff);
-            ill.backoff = (ill.backoff * 2).min(TRIAL.1);
-        }
+        m.ill.iter_mut().for_each(|ill| ill.tried(now));
         m.open.insert((id, r.attempts), (now, r.class, r.session));
         r.open.push(Attempt { number: r.attempts, member, sent: now, cancelled: false });
         r.attempts += 1;
@@ -33,7 +30,7 @@
         use Outcome::{Cancelled, Failed, Garbled, Miss, QueueFull};
         let answered = matches!(outcome, Outcome::Ok | Failed | QueueFull | Miss | Garbled);
         if answered {
-            self.hear(member, true);
+            self.hear(member, outcome == Outcome::Ok);
             if let Some(m) = self.members.get_mut(&member) {
                 if m.linked_at.is_none() && !write {
                     let extra = end.latency.0 as f64 / self.means[class].max(1.0) - 1.0;
@@ -79,16 +76,22 @@
                 self.members.entry(member).and_modify(|m| (m.behind, m.behind_at) = (target, now));
             }
             Outcome::Failed if write => {}
-            // Quick errors are a way of saying "full", too.
+            // Quick errors are a way of saying "full", too, but not one after the other.
             Outcome::QueueFull | Outcome::Failed => {
-                self.members.entry(member).and_modify(|m| m.rest_until = now + 2 * TICK);
                 self.cut(member);
+                let m = self.members.entry(member).or_default();
+                (m.rest_until, m.failed) = (now + 2 * TICK, m.failed + u32::from(outcome == Failed));
+                if m.failed > 1 {
+                    self.fall_ill(member, false, false);
+                }
             }
             Outcome::ConnectError => self.on_refused(member, end.latency.0, out),
             Outcome::TimedOut | Outcome::Cancelled => {
                 let strain = (end.latency.0 as f64 / self.aim(class)).min(2.0);
-                let more = |m: &mut Member| m.strain += SMOOTH_MEMBER * (strain - m.strain).max(0.0);
-                self.members.entry(member).and_modify(more);
+                let busy = (end.latency.0 as f64).min(self.aim(class));
+                let m = self.members.entry(member).or_default();
+                m.strain += SMOOTH_MEMBER * (strain - m.strain).max(0.0);
+                m.rest(now, busy);
                 if outcome == Outcome::TimedOut {
                     self.cut(member);
                 }
@@ -145,13 +148,13 @@
         self.means[class] += SMOOTH_CLASS * (taken.min(mean * 5.0) - mean);
         let Some(m) = self.members.get_mut(&member) else { return };
         let weight = SMOOTH_MEMBER.max(1.0 - (-((now - m.judged) as f64) / FADE).exp());
-        m.judged = now;
+        (m.judged, m.failed) = (now, 0);
         m.ratio += weight * ((taken / mean).min(10.0) - m.ratio);
         m.strain += weight * ((taken / aim).min(2.0) - m.strain);
         // Many routers with one in flight each are a queue too: under strain a member rests between requests.
         // Harm: tight aims with varied work look like strain.
         if m.strain > STRAIN.0 {
-            m.rest_until = m.rest_until.max(now + (taken * (1.0 / m.limit - 1.0).max(0.0)) as Us);
+            m.rest(now, taken);
         } else if m.open.len() as f64 + 1.0 >= m.limit / 2.0 {
             m.limit = (m.limit + step / m.limit.max(1.0)).min(LIMIT_ONE.1);
         }
@@ -184,7 +187,7 @@
     pub(super) fn rescue(&mut self, out: &mut Vec<Action>) {
         let (now, limits) = (self.now, &self.set.limits);
         let patient =
-            (MOVE_AFTER.1 - (MOVE_AFTER.1 - MOVE_AFTER.0) * self.lost / LOST_MUCH).max(MOVE_AFTER.0);
+            (MOVE_AFTER.1 - (MOVE_AFTER.1 - MOVE_AFTER.0) * self.lost / MOVE_AFTER.2).max(MOVE_AFTER.0);
         let late = |(id, r): (&RequestId, &Held)| {
             let a = r.open.first().filter(|a| r.open.len() == 1 && !a.cancelled)?;
             let (class, mean) = (&self.set.classes[r.class], self.means[r.class].max(1.0));
@@ -198,7 +201,7 @@
             let lone = !primary && m.ill.as_ref().is_some_and(|i| a.sent < i.since);
             let usual = mean * if primary { 2.0 } else { 1.0 };
             let waited = if lone { f64::INFINITY } else { (now - a.sent) as f64 / usual };
-            (safe && (useful || lone) && again && waited > COPY_AFTER.min(patient)).then_some((*id, waited))
+            (safe && (useful || lone) && again && waited > COPIES.2.min(patient)).then_some((*id, waited))
         };
         let ids: Vec<(RequestId, f64)> = self.requests.iter().filter_map(late).collect();
         for (id, waited) in ids {
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -58,7 +58,7 @@
         if started > m.started {
             // A restart: cold, and the old role is void; what it had applied it still has.
             (m.started, m.cold_since, m.permit_at, m.pace) = (started, Some(started), 0, 1.0);
-            (m.primary_at, m.limit) = (0, limit);
+            (m.primary_at, m.limit, m.ill) = (0, limit, None);
         }
         (m.zone, m.group, m.state, m.absent_since) = (Some(e.zone), Some(e.group), e.state, None);
         // The registry's word on roles is late: it counts only while nothing better was ever heard.
@@ -91,6 +91,7 @@
         let (now, started_cold) = (self.now, self.set.rules.cold.0);
         let Some(m) = self.members.get_mut(&id) else { return };
         m.heard = if answered { now } else { m.heard };
+        m.zone.into_iter().for_each(|z| self.outages.heard(z, now));
         if let Some(ill) = &mut m.ill {
             if !answered && !ill.dead {
                 ill.ready = true; // Probes say only that the process runs: one request may try.
@@ -107,16 +108,10 @@
         }
     }
 
-    /// Trials are probes, spread by chance: hundreds of routers trying with requests would lose one each.
     pub(super) fn fall_ill(&mut self, id: MemberId, dead: bool, down: bool) {
-        let (now, chance) = (self.now, 0.5 + self.rng.get_mut().f64());
+        let (now, chance, fleet) = (self.now, 0.5 + self.rng.get_mut().f64(), self.set.fleet_size);
         let Some(m) = self.members.get_mut(&id) else { return };
-        let new = Ill { since: now, dead, down, ready: false, trial_at: now, backoff: TRIAL.0 / 2 };
-        let ill = m.ill.get_or_insert(new);
-        (ill.dead, ill.down, ill.ready) = (ill.dead || dead, ill.down || down, false);
-        ill.backoff = (ill.backoff * 2).min(TRIAL.1);
-        // Silence may be a lost answer: a probe at once.
-        ill.trial_at = now + if ill.dead { (ill.backoff as f64 * chance) as Us } else { 0 };
+        m.ill.get_or_insert_with(|| Ill::new(now, fleet)).worse(now, dead, down, chance);
     }
 
     /// Well, and heard of so lately that a lost connection is no sign of its end, nor two new ones in a row.
@@ -157,8 +152,7 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         m.probing = false;
         let Some(group) = m.group else { return };
-        let quick = now - m.probed < self.set.limits.connect_timeout.0 / 2;
-        let down = quick && outcome == Outcome::ConnectError;
+        let down = outcome == Outcome::ConnectError && now - m.probed < self.set.limits.connect_timeout.0 / 2;
         match outcome {
             Outcome::Ok => {
                 self.hear(id, false);
@@ -232,6 +226,15 @@
         for id in members.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.check_member(id, out);
         }
+        // A lost zone isn't learned at a request a member: a probe each tells. Kept connections would break.
+        let waits = self.members.iter().flat_map(|(id, m)| m.waits(*id, &self.means));
+        for zone in self.outages.silent(now, waits) {
+            let lost = self.members.iter().filter(|(_, m)| m.zone == Some(zone) && well(m));
+            for member in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
+                self.fall_ill(member, false, false);
+                out.push(Action::Close { member });
+            }
+        }
         let groups = self.groups.iter().filter(|(_, g)| !g.held.is_empty());
         for g in groups.map(|(g, _)| *g).collect::<Vec<_>>() {
             self.seek(g, out);
@@ -250,8 +253,7 @@
             self.next_permit(id, work);
         }
         let m = &self.members[&id];
-        let oldest = m.open.values().copied().min_by_key(|o| o.0);
-        if let Some((sent, class, _)) = oldest {
+        if let Some((sent, class, _)) = m.open.values().copied().min_by_key(|o| o.0) {
             // Work taken and no answer at all: a hang, a dead link, a lost room. Shows before time-outs do.
             let usual = self.means[class] * m.ratio.clamp(1.0, 4.0);
             let quiet = (now - sent.max(m.heard)) as f64;
@@ -261,8 +263,7 @@
             }
         }
         let Some(m) = self.members.get_mut(&id) else { return };
-        if let Some(ill) = m.ill.as_mut().filter(|i| now >= i.trial_at && !i.ready) {
-            (ill.trial_at, ill.ready) = (now + ill.backoff, !self.set.limits.probe);
+        if m.ill.as_mut().is_some_and(|ill| ill.due(now, self.set.limits.probe)) {
             return self.probe(id, out);
         }
         if well(m) && now >= m.reported.max(m.probed) + PROBE_EVERY && self.probe_credit >= 1.0 {
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -15,8 +15,9 @@
 mod targets;
 
 use crate::api::*;
+use crate::recovery::Ill;
 pub use crate::state::Router;
-use crate::state::{Attempt, Group, Held, Ill, Member};
+use crate::state::{Attempt, Group, Held, Member};
 use std::collections::BTreeSet;
 
 type Us = u64;
@@ -41,15 +42,12 @@
 const TELL_SPEND: (f64, f64) = (0.015, 1_000.0);
 const PROBE_EVERY: Us = 200 * MS;
 const TELL_STEP: Us = 100 * MS;
-/// Gap between probes that look for a primary or a fresh replica.
-const SEEK_EVERY: Us = 100 * MS;
-/// The search's part for each router of the fleet, and the attempts of a write that may go on guesses.
-const SEEK_SHARE: Us = 5 * MS;
+/// Gap between probes that look for a primary or a fresh replica: the least, and for each router of a fleet;
+/// how many of a write's attempts may look for a primary.
+const SEEK_EVERY: (Us, Us) = (100 * MS, 5 * MS);
 const GUESSES: u32 = 3;
 /// Silence: no answer for the first + second / in flight of its usual latencies, the third at least.
 const SILENT: (f64, f64, f64) = (2.0, 5.0, 120_000.0);
-/// An ill member gets a trial this long after, doubling.
-const TRIAL: (Us, Us) = (250 * MS, 2_000 * MS);
 /// Smoothing of a member's latency, a class's mean, the share unanswered; FADE: older is replaced.
 const SMOOTH_MEMBER: f64 = 0.12;
 const SMOOTH_CLASS: f64 = 0.02;
@@ -72,11 +70,9 @@
 /// What was learned of a member outlives its absence this long.
 const KEEP_ABSENT: Us = 60_000 * MS;
 /// Second copies: budget per request, the most saved up, and after how many expected latencies one is sent.
-const COPIES: (f64, f64) = (0.05, 10.0);
-const COPY_AFTER: f64 = 3.0;
-/// Else an attempt is called off and sent anew: after so many when LOST_MUCH stay unanswered, when none do.
-const MOVE_AFTER: (f64, f64) = (4.0, 10.0);
-const LOST_MUCH: f64 = 0.15;
+const COPIES: (f64, f64, f64) = (0.05, 10.0, 3.0);
+/// Else an attempt is called off and sent anew: after so many when the third part is lost, when none is.
+const MOVE_AFTER: (f64, f64, f64) = (4.0, 10.0, 0.15);
 /// Heard of within this time, a member isn't dead for want of a connection, unless so many in a row.
 const ALIVE: Us = 1_000 * MS;
 const REFUSALS: u32 = 5;
--- a/crates/decisions/src/policy/primary.rs
+++ b/crates/decisions/src/policy/primary.rs
@@ -41,7 +41,7 @@
 
     /// Each router of a fleet looks for itself: the more there are, the longer the gaps.
     fn seek_gap(&self) -> Us {
-        SEEK_EVERY.max(u64::from(self.set.fleet_size) * SEEK_SHARE)
+        SEEK_EVERY.0.max(u64::from(self.set.fleet_size) * SEEK_EVERY.1)
     }
 
     /// Looks for the primary while there is none and work that only it can do waits.
--- /dev/null
+++ b/crates/decisions/src/recovery.rs
@@ -0,0 +1,62 @@
+//! How a member that fell ill is tried: a pure state machine for each, told what happened and when.
+//!
+//! A member that can't be reached costs a probe a trial, and most of its probes reach nobody. One that takes work and
+//! answers nothing, or with errors only, costs a request a trial, since a probe finds it alive: at each router of the
+//! fleet for itself. So the more routers there are, the rarer are their trials of such a member.
+
+/// The first gap between trials and the longest, in microseconds; they double in between.
+const TRIAL: (u64, u64) = (250_000, 2_000_000);
+/// From so many routers on, the gaps of members that take work and don't answer grow with the fleet.
+const FEW: u64 = 16;
+
+/// A member that takes no ordinary traffic: it took work and answers nothing, or (`dead`) can't be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ill {
+    /// Since when, in microseconds.
+    pub since: u64,
+    /// It can't be reached.
+    pub dead: bool,
+    /// A connection failed at once: nobody listens there.
+    pub down: bool,
+    /// One request may try it.
+    pub ready: bool,
+    /// When it is probed next.
+    pub trial_at: u64,
+    backoff: u64,
+    fleet: u64,
+}
+
+impl Ill {
+    /// Before one router of `fleet`.
+    pub fn new(now: u64, fleet: u32) -> Ill {
+        let fleet = u64::from(fleet);
+        Ill { since: now, dead: false, down: false, ready: false, trial_at: now, backoff: 0, fleet }
+    }
+
+    fn gap(&self, alone: u64) -> u64 {
+        if self.dead { alone } else { alone.max(alone.saturating_mul(self.fleet) / FEW) }
+    }
+
+    /// It failed again, or for the first time. Silence may be a lost answer: a probe at once. Else the next trial is
+    /// spread by `chance` (0.5 to 1.5): hundreds of routers lose it together.
+    pub fn worse(&mut self, now: u64, dead: bool, down: bool, chance: f64) {
+        (self.dead, self.down, self.ready) = (self.dead || dead, self.down || down, false);
+        self.backoff = (self.backoff * 2).clamp(self.gap(TRIAL.0), self.gap(TRIAL.1));
+        self.trial_at = now + if self.dead { (self.backoff as f64 * chance) as u64 } else { 0 };
+    }
+
+    /// One request was sent to try it.
+    pub fn tried(&mut self, now: u64) {
+        (self.ready, self.trial_at) = (false, now + self.backoff);
+        self.backoff = (self.backoff * 2).min(self.gap(TRIAL.1));
+    }
+
+    /// Whether a probe is due; where none may be sent, a request may try at once.
+    pub fn due(&mut self, now: u64, probes: bool) -> bool {
+        let due = now >= self.trial_at && !self.ready;
+        if due {
+            (self.trial_at, self.ready) = (now + self.backoff, !probes);
+        }
+        due
+    }
+}
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -2,6 +2,8 @@
 
 use crate::api::*;
 use crate::asking::Asking;
+use crate::outage::{Out, Outages};
+use crate::recovery::Ill;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -32,16 +34,8 @@
     pub(crate) missed: BTreeMap<MemberId, Us>,
 }
 
-/// A member that takes no ordinary traffic: it took work and answers nothing, or (`dead`) can't be reached.
-pub(crate) struct Ill {
-    pub(crate) since: Us,
-    pub(crate) dead: bool,
-    /// A connection failed at once: nobody listens there.
-    pub(crate) down: bool,
-    pub(crate) ready: bool,
-    pub(crate) trial_at: Us,
-    pub(crate) backoff: Us,
-}
+/// An attempt at a member: when it was sent, the request's class and session.
+pub(crate) type Sent = (Us, usize, Option<SessionKey>);
 
 #[derive(Default)]
 pub(crate) struct Member {
@@ -69,7 +63,8 @@
     pub(crate) judged: Us,
     pub(crate) rest_until: Us,
     pub(crate) refused: u32,
-    pub(crate) open: BTreeMap<(RequestId, u32), (Us, usize, Option<SessionKey>)>,
+    pub(crate) failed: u32,
+    pub(crate) open: BTreeMap<(RequestId, u32), Sent>,
     /// The latest send that was answered.
     pub(crate) passed: Us,
     pub(crate) linked_at: Option<Us>,
@@ -79,6 +74,21 @@
     pub(crate) probed: Us,
 }
 
+impl Member {
+    /// Rests so long that with `taken` it is busy for its limit's part of the time, where that is below one.
+    pub(crate) fn rest(&mut self, now: Us, taken: f64) {
+        let idle = taken * (1.0 / self.limit - 1.0).max(0.0);
+        self.rest_until = self.rest_until.max(now + idle as Us);
+    }
+
+    /// What is out here, each with its usual time by its class's mean.
+    pub(crate) fn waits(&self, id: MemberId, means: &[f64]) -> impl Iterator<Item = Out> {
+        let usual = |class: usize| means[class] * self.ratio.clamp(1.0, 4.0);
+        let out = move |o: &Sent| Some(Out { zone: self.zone?, member: id, sent: o.0, usual: usual(o.1) });
+        self.open.values().filter_map(out)
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Group {
     pub(crate) members: BTreeSet<MemberId>,
@@ -111,6 +121,7 @@
     pub(crate) lost: f64,
     pub(crate) link_cost: f64,
     pub(crate) pace: f64,
+    pub(crate) outages: Outages,
     pub(crate) squeezed_until: Us,
     pub(crate) probe_credit: f64,
     pub(crate) tell_credit: f64,
@@ -150,6 +161,7 @@
             lost: 0.0,
             link_cost: 0.0,
             pace: 1.0,
+            outages: Outages::default(),
             squeezed_until: 0,
             probe_credit: 0.0,
             tell_credit: 0.0,
