--- a/crates/decisions/src/policy/primary.rs
+++ b/crates/decisions/src/policy/primary.rs
@@ -30,7 +30,7 @@
     /// turn it away at once, untouched: that tells as much as a probe. Harm: a connection, and an attempt.
     pub(super) fn guess(&self, r: &Held, g: &Group) -> Option<MemberId> {
         let gap = self.seek_gap() + REPORT_AGE;
-        let open = |m: &Member| well(m) && self.room(r, m) && self.now >= m.replica_at + gap;
+        let open = |m: &Member| well(m) && m.open.is_empty() && self.now >= m.replica_at + gap;
         let fits = |id: &&MemberId| !r.missed.contains_key(*id) && self.members.get(*id).is_some_and(open);
         let long = |m: &Member| m.ill.as_ref().is_none_or(|i| i.since + ALIVE < self.now);
         let lost = g.primary.map(|p| &self.members[&p]).is_none_or(|m| !may_try(m) && long(m));
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -391,3 +391,43 @@
         }
     }
 }
+
+// Guards against a new primary that nobody finds: after a release its group's members are cold, and a write that waits
+// for a permit at each before it may look there waits for seconds at each of a hundred routers. What isn't primary
+// turns it away untouched; at the primary the first write of each router is all that goes without a permit.
+#[test]
+fn writes_find_a_cold_primary_and_do_not_push_it_over() {
+    let fleet = 100u32;
+    let (mut served, mut at_primary, mut asked) = (0, 0, 0);
+    for me in 0..fleet {
+        let mut rig = Rig::seeded(Settings { fleet_size: fleet, me, ..settings() }, u64::from(me));
+        let started = Some(Time(rig.now));
+        rig.list((1..=5).map(|m| ListEntry { started, ..entry(m) }).collect());
+        rig.wait(u64::from(me) * 10);
+        for _ in 0..2 {
+            let write = rig.ask(WRITE, 2_000, None);
+            asked += 1;
+            for _ in 0..50 {
+                let sent = rig.sends(write);
+                let n = sent.len().saturating_sub(1) as u32;
+                match sent.last().copied().filter(|_| rig.finals(write) == 0) {
+                    Some(1) => {
+                        rig.wait(50);
+                        rig.answer(write, n, 1, Outcome::Ok, 50, Some(rig.now), Some(Role::Primary));
+                        (served, at_primary) = (served + 1, at_primary + 1);
+                        break;
+                    }
+                    Some(m) => rig.answer(write, n, m, Outcome::Miss, 2, None, Some(Role::Replica)),
+                    None => {}
+                }
+                rig.wait(20);
+            }
+        }
+    }
+    assert!(served * 10 > asked * 3, "{served} of {asked} writes served");
+    // 0.2 of two cores for 3 s, three times over, and half as much again for what it has warmed up by then.
+    assert!(
+        f64::from(at_primary) * 0.05 <= 3.0 * 0.2 * 4.0 * 3.0 * 1.5,
+        "{at_primary} writes at a cold primary"
+    );
+}
