--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -66,7 +66,7 @@
 const COLD_CORES: f64 = 3.0;
 /// The use of its processors that a cold member is brought to; the most by which its own word changes its
 /// pace, the part of that which counts for all cold ones, and the most by which theirs changes.
-const PACE: (f64, f64, f64, f64) = (0.85, 2.0, 0.2, 5.0);
+const PACE: (f64, f64, f64, f64) = (0.85, 2.0, 0.4, 5.0);
 /// What was learned of a member outlives its absence this long.
 const KEEP_ABSENT: Us = 60_000 * MS;
 /// Second copies: budget per request, the most saved up, and after how many expected latencies one is sent.
