Don't take a list older than the one known, unless a new watch begins with it whole

Need: a change out of version would undo newer ones, a drain among them; discovery::follow took any number, so that a list of version 49 after 50 set the members back (seen in the new test). Change: within a watch and for changes, an older version is logged and left; a whole list at a watch's begin counts whatever its number. Tests: a list of 60 members cut at every 397th byte, twice, older, empty, with unknown fields, from a service that began anew; a fleetSize of 0 ends the start with a line that names it.

--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -96,7 +96,7 @@
     stream: impl AsyncRead + Unpin, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
 ) -> CloseReason {
     let mut pieces = FramedRead::new(stream, WatchCodec::default());
-    let mut patience = within;
+    let (mut patience, mut first) = (within, true);
     loop {
         let line = match timeout(patience, pieces.next()).await {
             Err(_) => return CloseReason::Silent,
@@ -121,7 +121,13 @@
             continue;
         }
         match list::decode(&line) {
+            // An old change would undo newer ones, a drain among them. A whole list that a new watch begins with counts
+            // whatever its number: the service may have begun anew.
+            Ok(listing) if listing.version < *version && !(listing.full && first) => {
+                warn!("discovery: version {} was not taken after version {version}", listing.version);
+            }
             Ok(listing) => {
+                first = false;
                 *version = listing.version;
                 if inbox.send(Input::List(News::Told(listing))).is_err() {
                     return CloseReason::Stopping;
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -544,3 +544,43 @@
     assert_eq!(relay.first_due(), None);
     drop(replies);
 }
+
+/// A list of `members` members under this version, as discovery writes it, with a field that nobody knows.
+fn large_list(version: u64, full: bool, members: usize) -> String {
+    let entry = |n: usize| {
+        format!(
+            r#"{{"id":"s-{n}","addr":"10.1.0.{n}:6543","zone":"a","kind":"m2","cell":{},"state":"in_service","weight":1.0,"started_ms":0,"rack":"r{n}"}}"#,
+            n % 12
+        )
+    };
+    let entries: Vec<String> = (1..=members).map(entry).collect();
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}],"region":"mu"}}"#, entries.join(","))
+}
+
+// Guards against a large fleet's list that is lost or taken for another: cut anywhere, twice, older than what is known,
+// empty, with fields that nobody knows. An old change would undo a drain that was told since.
+#[tokio::test(start_paused = true)]
+async fn a_list_of_sixty_members_is_taken_whole_and_never_backwards() {
+    let whole = chunk(&large_list(50, true, 60));
+    for cut in (1..whole.len()).step_by(397) {
+        let parts = vec![HEAD.to_string() + &whole[..cut], whole[cut..].to_string()];
+        assert_eq!(follow(parts).await, (50, 1, CloseReason::Silent), "cut at {cut}");
+    }
+    let stream = |lists: &[String]| {
+        let lines: String = lists.iter().map(|l| chunk(l)).collect();
+        vec![HEAD.to_string() + &lines]
+    };
+    let [new, older, empty] = [(50, 60), (49, 60), (51, 0)].map(|(v, n)| large_list(v, false, n));
+    assert_eq!(follow(stream(&[new.clone(), new.clone()])).await, (50, 2, CloseReason::Silent), "twice");
+    assert_eq!(follow(stream(&[new.clone(), older.clone()])).await, (50, 1, CloseReason::Silent), "older");
+    assert_eq!(follow(stream(&[new.clone(), empty])).await, (51, 2, CloseReason::Silent), "empty");
+    let before = large_list(40, false, 60);
+    assert_eq!(follow(stream(&[before])).await, (41, 0, CloseReason::Silent), "from before what is known");
+    let anew = large_list(3, true, 60);
+    assert_eq!(
+        follow(stream(std::slice::from_ref(&anew))).await,
+        (3, 1, CloseReason::Silent),
+        "a service that began anew"
+    );
+    assert_eq!(follow(stream(&[new, anew])).await, (50, 1, CloseReason::Silent), "but not amid a watch");
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -392,7 +392,10 @@
 #[test]
 fn a_bad_configuration_is_one_line_that_names_the_file_and_the_field() {
     let path = file("bad.json", &CONFIG.replace("\"fleetSize\": 1", "\"fleetSize\": []"));
-    for (config, words) in [(&path, "'settings.fleetSize'"), (&path.with_extension("none"), "bad.none")] {
+    // Nobody shares the members with no proxy: shares of what all may do would be of nothing.
+    let none = file("bad.zero.json", &CONFIG.replace("\"fleetSize\": 1", "\"fleetSize\": 0"));
+    let field = "'settings.fleetSize'";
+    for (config, words) in [(&path, field), (&none, field), (&path.with_extension("none"), "bad.none")] {
         let done = program(config).output().expect("the program");
         let said = String::from_utf8_lossy(&done.stderr).into_owned();
         assert!(!done.status.success() && said.lines().count() == 1, "{said}");
