Let a zone that was silent as a whole back in as cold, before the list tells

Cause: hear counts a member as cold only if a connection to it failed at once; machines that lost power let connections time out. Change: a member that fell silent with its whole zone counts as cold on its return; one alone that was cut off does not. A test on the module alone goes red without the change.

--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -97,8 +97,7 @@
                 ill.ready = true; // Probes say only that the process runs: one request may try.
                 return;
             }
-            // Back from the dead before the list told: it may be cold. Where nobody listens a connection
-            // fails at once; none that did means a cut, and a restart behind one the list will tell.
+            // Back from the dead before the list told: it may be cold, but not after a cut of it alone.
             let gone = ill.dead && ill.down && now - ill.since > 1_000 * MS;
             if gone && m.cold_since.is_none_or(|c| c + started_cold < now) {
                 (m.cold_since, m.permit_at, m.pace) = (Some(now), 0, 1.0);
@@ -229,9 +228,10 @@
         // A lost zone isn't learned at a request a member: a probe each tells. Kept connections would break.
         let waits = self.members.iter().flat_map(|(id, m)| m.waits(*id, &self.means));
         for zone in self.outages.silent(now, waits) {
-            let lost = self.members.iter().filter(|(_, m)| m.zone == Some(zone) && well(m));
+            let lost = |m: &Member| m.zone == Some(zone) && m.ill.as_ref().is_none_or(|i| !i.down);
+            let lost = self.members.iter().filter(|(_, m)| lost(m));
             for member in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
-                self.fall_ill(member, false, false);
+                self.fall_ill(member, false, true);
                 out.push(Action::Close { member });
             }
         }
--- a/crates/decisions/src/recovery.rs
+++ b/crates/decisions/src/recovery.rs
@@ -16,7 +16,8 @@
     pub since: u64,
     /// It can't be reached.
     pub dead: bool,
-    /// A connection failed at once: nobody listens there.
+    /// Its return counts as a restart: a connection failed at once, nobody listening, or its whole zone went silent.
+    /// A member alone that was only cut off comes back as it was, and a restart behind a cut the list will tell.
     pub down: bool,
     /// One request may try it.
     pub ready: bool,
--- a/crates/decisions/tests/outage.rs
+++ b/crates/decisions/tests/outage.rs
@@ -149,3 +149,36 @@
     let at: usize = reads.iter().map(|r| rig.sends(*r).iter().filter(|m| **m == 2).count()).sum();
     assert!(at <= 1, "one trial at most, not {at}");
 }
+
+// Guards against a full share for members that lost power with their zone and come back cold: their connections time
+// out, as at a cut, and the list tells of their start only seconds later.
+#[test]
+fn a_zone_that_was_silent_as_a_whole_is_let_in_as_cold_before_the_list_tells() {
+    let s = Settings { fleet_size: FLEET, check: ReplicaCheck::Refuse, ..settings() };
+    let mut rig = Rig::empty(s);
+    let zone = |m: u32| ZoneId(usize::from(m > 8));
+    rig.list((1..=16).map(|m| ListEntry { zone: zone(m), ..entry(m) }).collect());
+    for step in 0..100 {
+        let read = rig.ask(SESSION, 450, None);
+        rig.wait(50);
+        let sent = rig.sends(read);
+        if let Some(member) = sent.last().copied().filter(|m| step < 40 || *m <= 8) {
+            let (n, now) = (sent.len() as u32 - 1, Some(rig.now));
+            rig.answer(read, n, member, Outcome::Ok, 50, now, Some(Role::Replica));
+        }
+    }
+    let report = LoadReport::default();
+    for member in (9..=16).map(MemberId) {
+        rig.event(Event::Probed { member, outcome: Outcome::TimedOut, report });
+    }
+    rig.wait(2_000);
+    (9..=16).for_each(|m| rig.report(m, rig.now, Role::Replica));
+    let reads: Vec<RequestId> = (0..16).map(|_| rig.ask(SESSION, 450, None)).collect();
+    let there = reads.iter().filter(|r| rig.sends(**r).iter().any(|m| *m > 8)).count();
+    assert!(there <= 2, "{there} of 16 reads at once to members just back with their zone");
+    rig.wait(16_000);
+    (1..=16).for_each(|m| rig.report(m, rig.now, Role::Replica));
+    let reads: Vec<RequestId> = (0..16).map(|_| rig.ask(SESSION, 450, None)).collect();
+    let there = reads.iter().filter(|r| rig.sends(**r).iter().any(|m| *m > 8)).count();
+    assert!(there >= 4, "{there} of 16 reads once they are warm");
+}
