--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -84,7 +84,7 @@
 const HELD_MOST: usize = 400;
 const TRIES: usize = 24;
 const SESSIONS_MOST: usize = 50_000;
-/// Advice to refused clients: from this to twice this.
+/// Advice to refused clients: from this, spread over as much, more the more routers refuse together.
 const COME_BACK: Us = 150 * MS;
 
 /// Listed as serving, and neither silent nor unreachable.
--- a/crates/decisions/src/policy/refusals.rs
+++ b/crates/decisions/src/policy/refusals.rs
@@ -26,14 +26,13 @@
     /// The final answer of a request that can't succeed, at once: refused where a retry does no harm.
     pub(super) fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        let harmless = r.ran_from.is_none() && r.open.is_empty();
-        let refuse = match self.set.classes[r.class].effect {
-            Effect::Safe => true,
-            Effect::Keyed { scope, .. } => harmless || scope == RepeatScope::All,
-            Effect::Unsafe => harmless,
-        };
-        if refuse {
-            let wait = COME_BACK + (COME_BACK as f64 * self.rng.get_mut().f64()) as Us;
+        let harmless = matches!(
+            self.set.classes[r.class].effect,
+            Effect::Safe | Effect::Keyed { scope: RepeatScope::All, .. }
+        );
+        if harmless || (r.ran_from.is_none() && r.open.is_empty()) {
+            let wide = COME_BACK as f64 * (1.0 + f64::from(self.set.fleet_size.max(1)).log10());
+            let wait = COME_BACK + (wide * self.rng.get_mut().f64()) as Us;
             let advice = Span(wait.min(self.set.limits.max_retry_after.0));
             out.push(Action::Refuse { id, retry_after: self.set.limits.retry_after.then_some(advice) });
         } else {
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -372,3 +372,23 @@
     }
     assert!((60..=200).contains(&served), "{served} of 200 writes served");
 }
+
+// Guards against a wave: what a hundred routers can't serve since one event is refused and comes back, and the reads
+// among it may fall back on the primary. Spread by chance, no tenth of a second sees more than half of them.
+#[test]
+fn what_a_fleet_refuses_after_one_event_comes_back_spread_over_time() {
+    let mut back = Vec::new();
+    for mut rig in fleet(settings()) {
+        rig.list(vec![ListEntry { state: MemberState::Draining, ..entry(2) }]);
+        let (read, from) = (rig.ask(SESSION, 1_000, None), rig.now);
+        while rig.finals(read) == 0 {
+            rig.wait(10);
+        }
+        let Some(Action::Refuse { retry_after: Some(advice), .. }) = rig.out.last() else {
+            panic!("no advice")
+        };
+        back.push((rig.now - from + advice.0) / MS);
+    }
+    let most = back.iter().map(|at| back.iter().filter(|b| (*at..at + 100).contains(*b)).count()).max();
+    assert!(most.is_some_and(|most| most <= 50), "{most:?} of {} at once: {back:?}", back.len());
+}
