Ask discovery at a moment of chance where a proxy's place in the fleet is not told

Cause: settings without `me` put every proxy in the first slot, the wave that the slots are there to prevent. Change: `me` is optional down to `asking`; without it the whole window of the fleet is drawn from.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -191,8 +191,8 @@
     pub tick: Span,
     /// Instances that share the members.
     pub fleet_size: u32,
-    /// The place of this one among them, from 0.
-    pub me: u32,
+    /// The place of this one among them, from 0, if it is told.
+    pub me: Option<u32>,
     /// Where this instance runs.
     pub zone: ZoneId,
     /// The classes.
--- a/crates/decisions/src/asking.rs
+++ b/crates/decisions/src/asking.rs
@@ -15,29 +15,33 @@
 pub struct Asking {
     /// When the next call is due; none while one is out, or where lists come unasked.
     at: Option<u64>,
-    slot: u64,
+    /// When after a start the first call may go out, and the length from which chance draws its part.
+    slot: (u64, u64),
     first: u64,
     longest: u64,
     window: u64,
 }
 
 impl Asking {
-    /// For proxy `me` of `fleet`. Without a list a call is due at once (`now`); `None` where lists come unasked.
+    /// For proxy `me` of `fleet`, whose slot is a matter of chance if its place isn't told. Without a list a call is due at once (`now`); `None` where lists come unasked.
     /// Whoever asks for nothing for `within` counts as told, so no gap comes near it.
-    pub fn new(me: u32, fleet: u32, within: u64, now: Option<u64>) -> Asking {
+    pub fn new(me: Option<u32>, fleet: u32, within: u64, now: Option<u64>) -> Asking {
         let turns = u64::from(fleet.max(1)) * TURN;
         let longest = WINDOW.1.max(2 * turns).min(within / 5 * 4).max(1);
         let first = WINDOW.0.max(turns).min(longest);
-        let slot = (u64::from(me % fleet.max(1)) * TURN).min(longest);
+        let slot = match me {
+            Some(me) => ((u64::from(me % fleet.max(1)) * TURN).min(longest), TURN),
+            None => (0, turns.min(longest)),
+        };
         Asking { at: now, slot, first, longest, window: first }
     }
 
-    /// A saved list of so many members is at hand: unless it is empty the first call can wait for its slot, `chance`
-    /// (0 to 1) of a turn after it begins.
+    /// A saved list of so many members is at hand: unless it is empty the first call can wait for its slot, and in it
+    /// for `chance` (0 to 1).
     pub fn known(&mut self, now: u64, chance: f64, members: usize) {
         self.at = self.at.map(|at| match members {
             0 => at,
-            _ => at.max(now + self.slot + (TURN as f64 * chance) as u64),
+            _ => at.max(now + self.slot.0 + (self.slot.1 as f64 * chance) as u64),
         });
     }
 
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -18,7 +18,7 @@
         |aim: u64, effect, read| Class { aim: Span(aim * MS), effect, worth: 1.0, late_worth: 0.2, read };
     Settings {
         tick: Span(5 * MS),
-        me: 0,
+        me: None,
         fleet_size: 1,
         zone: ZoneId(0),
         classes: vec![
@@ -62,7 +62,8 @@
 
 /// The routers of a large fleet, each with these settings, its place and a seed of its own.
 pub fn fleet(s: Settings) -> impl Iterator<Item = Rig> {
-    (0..FLEET).map(move |me| Rig::seeded(Settings { fleet_size: FLEET, me, ..s.clone() }, u64::from(me)))
+    (0..FLEET)
+        .map(move |me| Rig::seeded(Settings { fleet_size: FLEET, me: Some(me), ..s.clone() }, u64::from(me)))
 }
 
 pub struct Rig {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -295,7 +295,7 @@
                 0 => return Err(wrong("fleetSize")),
                 proxies => proxies,
             },
-            me: self.me.unwrap_or(0),
+            me: self.me,
             zone: ZoneId(zones.number(&need("zone", self.zone)?)),
             classes,
             tenants,
