Operators' door: status, standby and active; the clients' socket inherited for upgrades

Change: src/admin listens where admin or LB_ADMIN says, one call a connection, descriptors set aside, incomplete calls bounded in time and number; decisions::lifecycle is the one path of drains and stops; src/takeover takes the socket that LB_INHERITED_FD names. A newcomer amid a drain is heard before its connection ends: before, its first request was turned back. Tests: any order of calls and signals, the door held by 40 slow callers, a drain taken back, two real processes on one socket, descriptors that are no listener.

--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,169 @@
+//! The operators' door: an address of its own, HTTP/1.1, one call a connection. It reads figures and tells the
+//! decisions what operators want; it decides nothing, and holds no state of members.
+//!
+//! Operators are answered whatever clients do: their descriptors are set aside, and callers that don't come to the
+//! point are bounded in time and number, the oldest of them making room for whoever comes.
+
+pub mod call;
+
+use crate::clients::phase::Course;
+use crate::close_reason::{CloseReason, Side, log_close};
+use crate::lifecycle::Event;
+use call::{Call, CallCodec, CallError};
+use futures_util::StreamExt;
+use log::{info, warn};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::FramedRead;
+
+/// Connections of operators at a time.
+pub const OPERATORS: usize = 8;
+/// A call is there whole by then; the platform's own slow callers keep a connection for 4 s.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+/// A caller that doesn't read its answer for so long is let go.
+const WRITE_WITHIN: Duration = Duration::from_secs(1);
+/// What the caller still sends is read away for so long, or the answer might be lost with the connection.
+const LINGER: Duration = Duration::from_millis(200);
+/// A pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A read's size.
+const READ_SIZE: usize = 1024;
+
+/// What operators may read and tell.
+pub struct Controls {
+    /// How far a drain or a stop has come.
+    pub course: Rc<Course>,
+}
+
+/// An answer: status, type of the text, text.
+struct Answer {
+    status: u16,
+    kind: &'static str,
+    text: String,
+}
+
+fn said(status: u16, text: impl Into<String>) -> Answer {
+    Answer { status, kind: "text/plain; charset=utf-8", text: text.into() + "\n" }
+}
+
+fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        _ => "Unknown",
+    }
+}
+
+impl Controls {
+    fn answer(&self, call: Call) -> Answer {
+        match call {
+            Call::Status if self.course.serves() => said(200, "serving"),
+            Call::Status => said(503, "not serving"),
+            Call::Standby => self.tell(Event::Standby, "draining"),
+            Call::Active => self.tell(Event::Active, "serving"),
+            Call::Metrics | Call::Enter(_) | Call::Exit(_) => said(501, "not here yet"),
+        }
+    }
+
+    fn tell(&self, event: Event, done: &str) -> Answer {
+        match self.course.tell(event) {
+            Ok(()) => {
+                info!("operators: {done}");
+                said(200, done)
+            }
+            Err(_) => said(409, "the process is stopping"),
+        }
+    }
+}
+
+/// Serves operators for as long as the program runs.
+pub async fn run(listener: TcpListener, controls: Rc<Controls>) {
+    let places = Arc::new(Semaphore::new(OPERATORS));
+    // Calls that are not whole yet, by their order, with a bell that ends them.
+    let waiting: Rc<RefCell<BTreeMap<u64, Rc<Notify>>>> = Rc::default();
+    for number in 0.. {
+        let (stream, peer) = loop {
+            match listener.accept().await {
+                Ok(accepted) => break accepted,
+                Err(problem) => {
+                    warn!("accept of operators: {problem}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        };
+        if places.available_permits() == 0 {
+            let oldest = waiting.borrow_mut().pop_first();
+            oldest.into_iter().for_each(|(_, bell)| bell.notify_one());
+        }
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        let bell = Rc::new(Notify::new());
+        waiting.borrow_mut().insert(number, bell.clone());
+        let (controls, waiting) = (controls.clone(), waiting.clone());
+        spawn_local(async move {
+            let whole = || _ = waiting.borrow_mut().remove(&number);
+            let reason = serve(stream, &controls, &bell, whole).await;
+            waiting.borrow_mut().remove(&number);
+            log_close(Side::Operator, peer, reason);
+            drop(place);
+        });
+    }
+}
+
+/// One call; `whole` is told once it need not make room any more.
+async fn serve(
+    mut stream: TcpStream, controls: &Controls, make_room: &Notify, whole: impl FnOnce(),
+) -> CloseReason {
+    let mut calls = FramedRead::with_capacity(&mut stream, CallCodec, READ_SIZE);
+    let came = tokio::select! {
+        biased;
+        came = timeout(CALL_WITHIN, calls.next()) => came,
+        () = make_room.notified() => return CloseReason::MadeRoom,
+    };
+    whole();
+    let (answer, reason) = match came {
+        Ok(Some(Ok(call))) => (controls.answer(call), CloseReason::Answered),
+        Ok(None) => return CloseReason::PeerClosed,
+        Ok(Some(Err(CallError::Io(_)))) => return CloseReason::Io,
+        Ok(Some(Err(problem))) => (said(problem.status(), problem.to_string()), CloseReason::Protocol),
+        Err(_) => (said(408, "the call did not come whole"), CloseReason::TimedOut),
+    };
+    let allow = match answer.status {
+        405 => "Allow: GET, POST\r\n",
+        _ => "",
+    };
+    let Answer { status, kind, text } = answer;
+    let (phrase, length) = (phrase(status), text.len());
+    let whole = format!(
+        "HTTP/1.1 {status} {phrase}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n{allow}\
+         Connection: close\r\n\r\n{text}"
+    );
+    let _ = stream.set_nodelay(true);
+    let written = async {
+        stream.write_all(whole.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    match timeout(WRITE_WITHIN, written).await {
+        Ok(Ok(())) => {}
+        Ok(Err(_)) => return CloseReason::Io,
+        Err(_) => return CloseReason::WriteTimeout,
+    }
+    let mut away = [0; 256];
+    let _ = timeout(LINGER, async { while stream.read(&mut away).await.is_ok_and(|n| n > 0) {} }).await;
+    reason
+}
--- a/src/clients/listener.rs
+++ b/src/clients/listener.rs
@@ -2,10 +2,10 @@
 
 use super::desk::Desk;
 use super::doorway::Doorway;
-use super::phase::Phase;
 use super::session;
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::counters::Counters;
+use crate::lifecycle::View;
 use log::warn;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,9 +17,9 @@
 /// A pause after an accept that failed: descriptors come back as connections end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts and serves until the phase says to close, then waits for the sessions to end.
+/// Accepts and serves until newcomers are accepted no more, then waits for the sessions to end.
 pub async fn run(
-    listener: TcpListener, desk: Rc<Desk>, doorway: Rc<Doorway>, mut phase: watch::Receiver<Phase>,
+    listener: TcpListener, desk: Rc<Desk>, doorway: Rc<Doorway>, mut view: watch::Receiver<View>,
     counters: Rc<Counters>,
 ) {
     let mut sessions = JoinSet::new();
@@ -29,7 +29,7 @@
             // What the machine has accepted may hold requests: it comes before the end.
             accepted = listener.accept() => accepted,
             Some(_) = sessions.join_next() => continue,
-            _ = phase.wait_for(|p| *p >= Phase::Closing) => break,
+            _ = view.wait_for(|v| !v.accepts) => break,
         };
         let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
@@ -52,9 +52,9 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let (desk, phase, counters) = (desk.clone(), phase.clone(), counters.clone());
+        let (desk, view, counters) = (desk.clone(), view.clone(), counters.clone());
         sessions.spawn_local(async move {
-            let reason = session::run(stream, desk, seated, phase).await;
+            let reason = session::run(stream, desk, seated, view).await;
             ended(&counters, peer, reason);
         });
     }
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -2,10 +2,10 @@
 
 use super::desk::{COME_BACK, Claim, Desk, Pending};
 use super::doorway::{Manner, Seated};
-use super::phase::Phase;
 use crate::api::Span;
 use crate::budget::Place;
 use crate::close_reason::CloseReason;
+use crate::lifecycle::View;
 use crate::pg::PgError;
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
 use crate::pg::statement::{self, Statement, StatementError};
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::Framed;
 
 /// A client that has not sent its startup message by then is let go.
@@ -34,6 +34,8 @@
 const LINGER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
 /// What is read away at a time.
 const AWAY: usize = 32 * 1024;
+/// Accepted amid a drain or a stop, a client is waited for so long: it connects in order to ask.
+const NEWCOMER_WITHIN: Duration = Duration::from_millis(1_000);
 /// A message that has begun is there whole by then.
 const MESSAGE_WITHIN: Duration = Duration::from_millis(2_500);
 /// How often a message that has begun is looked at.
@@ -107,16 +109,21 @@
     skipping: bool,
     /// Malformed statements in a row.
     malformed: u32,
+    /// When it was accepted, and whether it has asked anything since.
+    since: Instant,
+    heard: bool,
 }
 
 /// Serves a connection to its end, and says why it ended.
 pub async fn run<S: AsyncRead + AsyncWrite + Unpin>(
-    stream: S, desk: Rc<Desk>, seated: Seated, mut phase: watch::Receiver<Phase>,
+    stream: S, desk: Rc<Desk>, seated: Seated, mut view: watch::Receiver<View>,
 ) -> CloseReason {
     let framed = Framed::new(stream, FrontendCodec::new(desk.memory()));
     let (waiting, next, broken) = (VecDeque::new(), Order::default(), None);
-    let mut s = Session { framed, desk, seated, waiting, next, broken, skipping: false, malformed: 0 };
-    let reason = match s.serve(&mut phase).await {
+    let (since, heard) = (Instant::now(), false);
+    let (skipping, malformed) = (false, 0);
+    let mut s = Session { framed, desk, seated, waiting, next, broken, skipping, malformed, since, heard };
+    let reason = match s.serve(&mut view).await {
         Ok(()) => CloseReason::Terminated,
         Err(reason) => reason,
     };
@@ -165,12 +172,12 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Session<S> {
-    async fn serve(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(), CloseReason> {
-        self.start(phase).await?;
+    async fn serve(&mut self, view: &mut watch::Receiver<View>) -> Result<(), CloseReason> {
+        self.start(view).await?;
         loop {
             let came = match self.waiting.pop_front() {
                 Some(next) => next,
-                None => match self.next(phase).await? {
+                None => match self.next(view).await? {
                     Some(message) => self.came(message),
                     None => return Err(CloseReason::PeerClosed),
                 },
@@ -179,6 +186,9 @@
                 Came::Terminate => return Ok(()),
                 Came::Passed => {}
                 Came::Synced => self.reply([Wire::Ready]).await?,
+                Came::Empty if !view.borrow().yes => {
+                    self.reply([error("57P03", "standing by"), Wire::Ready]).await?;
+                }
                 Came::Empty => self.reply([Wire::Empty, Wire::Ready]).await?,
                 Came::Extended => {
                     self.reply([error("0A000", "the extended query protocol is not supported")]).await?;
@@ -210,6 +220,7 @@
     /// them writes to its key, or it writes to theirs.
     fn came(&mut self, message: Frontend) -> Came {
         let memory = self.framed.codec_mut().share();
+        self.heard = true;
         let statement = match message {
             Frontend::Sync => {
                 self.skipping = false;
@@ -261,10 +272,10 @@
     }
 
     /// Everything up to the first query.
-    async fn start(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(), CloseReason> {
+    async fn start(&mut self, view: &mut watch::Receiver<View>) -> Result<(), CloseReason> {
         let by = Instant::now() + STARTUP_WITHIN;
         loop {
-            let next = tokio::time::timeout_at(by, self.next(phase)).await;
+            let next = tokio::time::timeout_at(by, self.next(view)).await;
             match next.map_err(|_| CloseReason::StartupTimeout)?? {
                 None => return Err(CloseReason::PeerClosed),
                 Some(Frontend::Encryption) => self.reply([Wire::NoEncryption]).await?,
@@ -277,13 +288,19 @@
         }
     }
 
-    /// The next message between requests; a stop ends the connection here.
-    async fn next(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<Option<Frontend>, CloseReason> {
+    /// The next message between requests. A drain or a stop ends the connection here, but a newcomer is heard first:
+    /// whoever has just connected has a request on the way.
+    async fn next(&mut self, view: &mut watch::Receiver<View>) -> Result<Option<Frontend>, CloseReason> {
         if let Some(problem) = self.broken.take() {
             return Err(self.violation(problem).await);
         }
         let mut begun = None;
+        let heard_by = if self.heard { Instant::now() } else { self.since + NEWCOMER_WITHIN };
         loop {
+            let ends = async {
+                let _ = view.wait_for(|v| v.closes).await;
+                sleep_until(heard_by).await;
+            };
             tokio::select! {
                 biased;
                 next = self.framed.next() => return match next {
@@ -291,7 +308,7 @@
                     Some(Ok(message)) => Ok(Some(message)),
                     Some(Err(problem)) => Err(self.violation(problem).await),
                 },
-                _ = phase.wait_for(|p| *p >= Phase::Closing) => return Err(CloseReason::Stopping),
+                () = ends => return Err(CloseReason::Stopping),
                 () = self.seated.told_to_leave() => return Err(CloseReason::MadeRoom),
                 () = sleep(LOOK_EVERY) => {}
             }
--- a/src/close_reason.rs
+++ b/src/close_reason.rs
@@ -12,6 +12,8 @@
     Member,
     /// Discovery's.
     Discovery,
+    /// An operator's.
+    Operator,
 }
 
 macro_rules! reasons {
@@ -84,6 +86,8 @@
     Silent = "silent",
     /// The watch ended.
     WatchEnded = "watch-ended",
+    /// The operator's call was answered.
+    Answered = "answered",
 }
 
 /// Writes the one line.
@@ -92,6 +96,7 @@
         Side::Client => "client",
         Side::Member => "member",
         Side::Discovery => "discovery",
+        Side::Operator => "operator",
     };
     info!("closed {side} {peer} code={reason}");
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -18,6 +18,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: Option<String>,
     limits: Option<LimitsDoc>,
     known: Option<ListDoc>,
@@ -38,6 +39,10 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators call; none: the door for them is off.
+    pub admin: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, where the platform holds it.
+    pub inherited: Option<i32>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that this process may hold.
@@ -63,6 +68,8 @@
     Malformed(PathBuf, FormError),
     /// A variable holds something else than it should.
     Variable(&'static str),
+    /// A variable names no descriptor beyond the standard ones.
+    Descriptor(&'static str),
 }
 
 impl fmt::Display for ConfigError {
@@ -72,6 +79,7 @@
             ConfigError::Unreadable(path, e) => write!(f, "{}: {e}", path.display()),
             ConfigError::Malformed(path, e) => write!(f, "{}: {e}", path.display()),
             ConfigError::Variable(name) => write!(f, "{name} is not an address"),
+            ConfigError::Descriptor(name) => write!(f, "{name} is not the number of a descriptor over 2"),
         }
     }
 }
@@ -87,6 +95,10 @@
     pub listen: Option<String>,
     /// `LB_DISCOVERY`.
     pub discovery: Option<String>,
+    /// `LB_ADMIN`.
+    pub admin: Option<String>,
+    /// `LB_INHERITED_FD`.
+    pub inherited: Option<String>,
 }
 
 /// On what occasion the file is read.
@@ -108,6 +120,8 @@
             name: variable("LB_NAME"),
             listen: variable("LB_LISTEN"),
             discovery: variable("LB_DISCOVERY"),
+            admin: variable("LB_ADMIN"),
+            inherited: variable("LB_INHERITED_FD"),
         };
         Config::parse(&text, &path, variables, reading)
     }
@@ -128,6 +142,15 @@
         let listen = address(variables.listen, "LB_LISTEN", doc.listen, "listen")?;
         let told = variables.discovery.filter(|_| reading == Reading::Start || doc.discovery.is_none());
         let discovery = address(told, "LB_DISCOVERY", doc.discovery, "discovery")?;
+        let admin = match (&variables.admin, &doc.admin) {
+            (None, None) => None,
+            _ => Some(address(variables.admin, "LB_ADMIN", doc.admin, "admin")?),
+        };
+        let descriptor = |text: String| text.parse().ok().filter(|fd: &i32| *fd > 2);
+        let inherited = variables
+            .inherited
+            .map(|text| descriptor(text).ok_or(ConfigError::Descriptor("LB_INHERITED_FD")));
+        let inherited = inherited.transpose()?;
         let seed = need("seed", doc.seed).map_err(form)?;
         let seed = u64::from_str_radix(&seed, 16).map_err(|_| form(FormError::Wrong("seed".to_string())))?;
         let inside = |part: &'static str| {
@@ -148,6 +171,6 @@
         let sockets = size(limits.sockets.unwrap_or(SOCKETS));
         let memory = size(limits.memory_mb.unwrap_or(MEMORY_MB)).saturating_mul(1 << 20);
         let name = variables.name.or(doc.name).unwrap_or_default();
-        Ok(Config { name, listen, discovery, seed, sockets, memory, known, site, names })
+        Ok(Config { name, listen, discovery, admin, inherited, seed, sockets, memory, known, site, names })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,9 +7,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub use linenhill_decisions::{api, door, policy};
+pub use linenhill_decisions::{api, door, lifecycle, policy};
 pub use linenhill_settings as settings;
 
+pub mod admin;
 pub mod budget;
 pub mod cli;
 pub mod clients;
@@ -23,6 +24,7 @@
 pub mod proxy;
 pub mod request;
 pub mod stages;
+pub mod takeover;
 
 /// README's example is compiled with the tests.
 #[cfg(doctest)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,8 @@
 use linenhill::cli::{self, Cli, Command};
 use linenhill::config::{Config, Reading};
 use linenhill::counters::Counters;
-use linenhill::proxy;
+use linenhill::proxy::{self, Listeners};
+use linenhill::takeover::inherit;
 use log::{error, info, warn};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -49,9 +50,20 @@
         return Err("signals can't be received".into());
     };
     let listen = config.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen on {listen}: {e}"))?;
+    let listener = match config.inherited {
+        Some(fd) => inherit::listener(fd).map_err(|e| format!("LB_INHERITED_FD: {e}"))?,
+        None => TcpListener::bind(listen).await.map_err(|e| format!("listen on {listen}: {e}"))?,
+    };
     let listen = listener.local_addr().map_err(|e| format!("listen on {listen}: {e}"))?;
+    let operators = match config.admin {
+        None => None,
+        Some(at) => Some(TcpListener::bind(at).await.map_err(|e| format!("operators at {at}: {e}"))?),
+    };
+    if let Some(at) = operators.as_ref().and_then(|o| o.local_addr().ok()) {
+        info!("operators call at {at}");
+    }
     info!("{} listens on {listen}", config.name);
+    let listeners = Listeners { clients: listener, operators };
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -69,7 +81,7 @@
         }
     };
     let served = tokio::select! {
-        served = proxy::run(config, listener, counters.clone(), discovery, stop) => served,
+        served = proxy::run(config, listeners, counters.clone(), discovery, stop) => served,
         () = aside => Ok(()),
     };
     info!("counters {counters}");
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -1,15 +1,17 @@
 //! The parts put together: one thread, one driver of the decisions, and tasks for everything that waits.
 
+use crate::admin::{self, Controls, OPERATORS};
 use crate::clients::desk::Desk;
 use crate::clients::doorway::Doorway;
 use crate::clients::listener;
-use crate::clients::phase::Phase;
+use crate::clients::phase::Course;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::discovery;
 use crate::discovery::list::News;
 use crate::door::Bounds;
+use crate::lifecycle::Event;
 use crate::members::pool::Pool;
 use crate::policy::Router;
 use crate::stages::Input;
@@ -28,7 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Descriptors kept for what is neither a client nor a member: the listener, discovery, the runtime, the log.
 const OWN: usize = 20;
@@ -43,8 +45,6 @@
 const LEAVING: usize = 6;
 /// Of the memory, the part for what clients have sent and was not answered yet.
 const MESSAGES_PART: usize = 4;
-/// After being told to stop, connections still come for this long and are served.
-const STILL_SERVING: Duration = Duration::from_millis(450);
 /// What was taken ends by its deadline; the program ends this long after the longest.
 const PAST_LONGEST: Duration = Duration::from_millis(500);
 
@@ -60,21 +60,31 @@
 
 impl std::error::Error for DriverEnded {}
 
+/// The sockets that the proxy serves at.
+pub struct Listeners {
+    /// For clients.
+    pub clients: TcpListener,
+    /// For operators, if there is a door for them.
+    pub operators: Option<TcpListener>,
+}
+
 /// Serves until `stop` is ready and all that was taken is answered. `discovery` is where it is, and where it
 /// moves to.
 pub async fn run(
-    config: Config, listener: TcpListener, counters: Rc<Counters>, discovery: watch::Receiver<SocketAddr>,
+    config: Config, listeners: Listeners, counters: Rc<Counters>, discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), DriverEnded> {
-    LocalSet::new().run_until(serve(config, listener, counters, discovery, stop)).await
+    LocalSet::new().run_until(serve(config, listeners, counters, discovery, stop)).await
 }
 
 async fn serve(
-    config: Config, listener: TcpListener, counters: Rc<Counters>, discovery: watch::Receiver<SocketAddr>,
+    config: Config, listeners: Listeners, counters: Rc<Counters>, discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), DriverEnded> {
     let Config { site, names, known, .. } = config;
-    let share = |part: f64| (config.sockets.saturating_sub(OWN) as f64 * part) as usize;
+    // A connection of each operator, the listener, and one more that waits to be let in.
+    let own = OWN + listeners.operators.as_ref().map_or(0, |_| OPERATORS + 2);
+    let share = |part: f64| (config.sockets.saturating_sub(own) as f64 * part) as usize;
     let clock = Clock::start();
     let limits = &site.settings.limits;
     let idle_close = Duration::from_micros(limits.idle_close.0);
@@ -108,16 +118,20 @@
     spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone(), ask_within));
     spawn_local(pool.look_after());
     spawn_local(doorway.clone().look_after());
-    let (tell, phase) = watch::channel(Phase::Serving);
-    let serving = spawn_local(listener::run(listener, desk.clone(), doorway, phase, counters));
+    let course = Course::new(clock);
+    spawn_local(course.clone().look_after());
+    let view = course.watch();
+    let mut serving = spawn_local(listener::run(listeners.clients, desk.clone(), doorway, view, counters));
+    if let Some(operators) = listeners.operators {
+        spawn_local(admin::run(operators, Rc::new(Controls { course: course.clone() })));
+    }
     tokio::select! {
         () = stop => {}
         _ = driver => return Err(DriverEnded),
     }
     info!("stopping, {} requests held", desk.held());
-    sleep(STILL_SERVING).await;
-    let _ = tell.send(Phase::Closing);
-    let over = timeout(longest + PAST_LONGEST - STILL_SERVING.min(PAST_LONGEST), serving).await.is_ok();
+    let _ = course.tell(Event::Stop { handed_over: false });
+    let over = timeout(longest + PAST_LONGEST, &mut serving).await.is_ok();
     info!("stopped, {}", if over { "all answered" } else { "some still held" });
     Ok(())
 }
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,153 @@
+//! The operators' door of the program itself: calls, drains, and two versions on one inherited socket.
+
+mod harness;
+
+use harness::{Act, CONFIG, READ, answer, client, encoded, file, play_with, program, query, start};
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// One call, with its answer whole: the status and the text.
+async fn call(at: SocketAddr, line: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(at).await.expect("a connection");
+    stream.write_all(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).await.expect("written");
+    let mut got = String::new();
+    stream.read_to_string(&mut got).await.expect("an answer and an end");
+    let status = got.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    (status, got.split_once("\r\n\r\n").expect("a head").1.to_string())
+}
+
+fn with_door() -> String {
+    CONFIG.replacen("\"seed\"", "\"admin\": \"127.0.0.1:0\", \"seed\"", 1)
+}
+
+// Guards against a door that mistakes one call for another, or keeps operators waiting behind callers that never come
+// to the point.
+#[test]
+fn operators_are_answered_whoever_else_holds_the_door() {
+    let act = |_, _| std::future::ready(Act::Row("served".into()));
+    play_with("door", &with_door(), act, |_, program| async move {
+        let at = program.address("operators call at ");
+        let mut slow = Vec::new();
+        for _ in 0..40 {
+            let mut stream = TcpStream::connect(at).await.expect("a connection");
+            stream.write_all(b"GET /sta").await.expect("written");
+            slow.push(stream);
+        }
+        assert_eq!(call(at, "GET /status").await, (200, "serving\n".into()));
+        for (line, status) in [
+            ("POST /status", 405),
+            ("GET /standby", 405),
+            ("GET /nowhere", 404),
+            ("POST /maintenance/enter", 400),
+            ("GET /status HTTP/9\r\nx", 400),
+        ] {
+            let (got, text) = call(at, line).await;
+            assert!(got == status && text.trim().lines().count() == 1, "{line}: {got} {text:?}");
+        }
+        program.says("closed operator").await;
+        program.says("code=made-room").await;
+    });
+}
+
+// Guards against a drain that the front isn't told of, that ends the process, or that lasts for ever.
+#[test]
+fn a_drain_says_no_to_the_front_ends_connections_and_can_be_taken_back() {
+    let act = |_, _| std::future::ready(Act::Row("served".into()));
+    play_with("standby", &with_door(), act, |at, program| async move {
+        let operators = program.address("operators call at ");
+        let mut kept = client(at, &[READ]).await;
+        assert!(answer(&mut kept).await.contains("served"));
+        for _ in 0..2 {
+            assert_eq!(call(operators, "POST /standby").await.0, 200);
+        }
+        assert_eq!(call(operators, "GET /status").await.0, 503);
+        let mut front = client(at, &[""]).await;
+        assert!(answer(&mut front).await.contains("C57P03\0"));
+        kept.write_all(&encoded(&[query(READ)])).await.expect("written");
+        assert!(answer(&mut kept).await.contains("served"), "kept connections stay in use at first");
+        assert_eq!(answer(&mut kept).await, "", "and then they end");
+        let mut late = client(at, &[READ]).await;
+        assert!(answer(&mut late).await.contains("served"), "who comes late is served");
+        assert_eq!(answer(&mut late).await, "", "once");
+        assert_eq!(call(operators, "POST /active").await.0, 200);
+        assert_eq!(call(operators, "GET /status").await.0, 200);
+        let mut front = client(at, &["", READ]).await;
+        assert!(answer(&mut front).await.starts_with('I'));
+        assert!(answer(&mut front).await.contains("served"));
+        assert_eq!(call(operators, "POST /standby").await.0, 200);
+        program.signal("-TERM");
+        assert!(program.end().await.success());
+    });
+}
+
+/// The program's command with `socket` as its descriptor 5.
+fn inheriting(config: &std::path::Path, socket: &std::net::TcpListener, number: &str) -> Command {
+    let known = program(config);
+    let mut command = Command::new("sh");
+    command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", env!("CARGO_BIN_EXE_linenhill")]);
+    command.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket.try_clone().expect("a copy"))));
+    for (name, value) in known.get_envs() {
+        match value {
+            Some(value) => command.env(name, value),
+            None => command.env_remove(name),
+        };
+    }
+    command.env("LB_INHERITED_FD", number).stderr(Stdio::piped());
+    command
+}
+
+// Guards against a second version that can't start beside the first, and against clients turned back between the two.
+#[test]
+fn a_new_version_takes_over_the_same_socket_while_clients_ask() {
+    let act = |_, _| std::future::ready(Act::Row("served".into()));
+    play_with("upgrade", &with_door(), act, |_, first| async move {
+        let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = socket.local_addr().expect("an address");
+        let old = start(inheriting(&first.config, &socket, "5"), first.config.clone());
+        assert_eq!(old.address("listens on "), at);
+        let mut kept = client(at, &[READ]).await;
+        assert!(answer(&mut kept).await.contains("served"));
+        let new = Rc::new(start(inheriting(&first.config, &socket, "5"), first.config.clone()));
+        assert_eq!(call(new.address("operators call at "), "GET /status").await.0, 200);
+        old.signal("-TERM");
+        let asking = async {
+            for _ in 0..200 {
+                let mut one = client(at, &[READ]).await;
+                assert!(answer(&mut one).await.contains("served"));
+            }
+        };
+        let (ended, ()) = tokio::join!(old.end(), asking);
+        assert!(ended.success());
+        assert_eq!(answer(&mut kept).await, "", "the old version's connections have ended");
+        let mut one = client(at, &[READ]).await;
+        assert!(answer(&mut one).await.contains("served"), "the new version serves on");
+        new.signal("-TERM");
+        assert!(new.end().await.success());
+    });
+}
+
+// Guards against a start at a socket that never brings a client, and against closing a descriptor that isn't ours.
+#[test]
+fn a_descriptor_that_is_no_listening_socket_ends_the_start_with_one_line() {
+    let config = file("inherit.json", CONFIG);
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = socket.local_addr().expect("an address");
+    let plain = std::net::TcpStream::connect(at).expect("connected");
+    let datagrams = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let as_listener = |fd: std::os::fd::OwnedFd| std::net::TcpListener::from(fd);
+    for (socket, number, words) in [
+        (&socket, "five", "LB_INHERITED_FD"),
+        (&socket, "-1", "LB_INHERITED_FD"),
+        (&socket, "77", "descriptor 77 is not open"),
+        (&as_listener(plain.into()), "5", "it does not listen"),
+        (&as_listener(datagrams.into()), "5", "it is not of TCP"),
+    ] {
+        let done = inheriting(&config, socket, number).output().expect("the program");
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert!(!done.status.success() && said.lines().count() == 1, "{number}: {said}");
+        assert!(said.contains(words), "{number}: {said}");
+    }
+}
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -10,7 +10,6 @@
 use linenhill::clients::desk::Desk;
 use linenhill::clients::doorway::{Doorway, Seated};
 use linenhill::clients::listener;
-use linenhill::clients::phase::Phase;
 use linenhill::clients::session;
 use linenhill::clock::Clock;
 use linenhill::close_reason::CloseReason;
@@ -18,6 +17,7 @@
 use linenhill::counters::Counters;
 use linenhill::discovery::{self, list, list::News};
 use linenhill::door::Bounds;
+use linenhill::lifecycle::View;
 use linenhill::members::link::Link;
 use linenhill::members::pool::Pool;
 use linenhill::policy::Router;
@@ -113,18 +113,19 @@
 /// A session on one end of a stream, before this desk.
 fn before(
     desk: &Rc<Desk>, seated: Seated,
-) -> (DuplexStream, impl Future<Output = CloseReason> + use<>, watch::Sender<Phase>) {
+) -> (DuplexStream, impl Future<Output = CloseReason> + use<>, watch::Sender<View>) {
     let (near, far) = duplex(4096);
-    let (tell, phase) = watch::channel(Phase::Serving);
-    (near, session::run(far, desk.clone(), seated, phase), tell)
+    let (tell, view) = watch::channel(SERVING);
+    (near, session::run(far, desk.clone(), seated, view), tell)
 }
 
-fn session() -> (DuplexStream, Events, impl Future<Output = CloseReason>, watch::Sender<Phase>) {
+fn session() -> (DuplexStream, Events, impl Future<Output = CloseReason>, watch::Sender<View>) {
     let (desk, events) = desk();
     let (near, session, tell) = before(&desk, doorway(9).enter().expect("a place"));
     (near, events, session, tell)
 }
 
+const SERVING: View = View { yes: true, accepts: true, closes: false };
 const STARTUP: &[u8] = b"\0\0\0\x08\0\x03\0\0";
 
 fn query(id: &str, class: &str) -> Vec<u8> {
@@ -298,7 +299,7 @@
     let at = listener.local_addr().expect("an address");
     let bounds = Bounds { requests: 8, ..bounds(40) };
     let doorway = Doorway::new(bounds, Clock::start());
-    let (_tell, phase) = watch::channel(Phase::Serving);
+    let (_tell, view) = watch::channel(SERVING);
     let counters = Rc::new(Counters::default());
     let answering = async move {
         while let Some(input) = events.recv().await {
@@ -323,7 +324,7 @@
         }
     };
     let local = LocalSet::new();
-    local.spawn_local(listener::run(listener, desk, doorway.clone(), phase, counters.clone()));
+    local.spawn_local(listener::run(listener, desk, doorway.clone(), view, counters.clone()));
     local.spawn_local(doorway.look_after());
     local.spawn_local(answering);
     let done = local.run_until(timeout(Duration::from_secs(20), asking)).await;
@@ -353,6 +354,28 @@
     assert_eq!(reason, CloseReason::MadeRoom);
 }
 
+// Guards against a drain that turns a newcomer's first request back unheard, that keeps a connection after it, or that
+// says yes to the front.
+#[tokio::test(start_paused = true)]
+async fn amid_a_drain_a_newcomer_is_served_once_and_the_front_is_told_no() {
+    let (mut near, mut events, session, tell) = session();
+    let _ = tell.send(View { yes: false, closes: true, ..SERVING });
+    let client = async {
+        sleep(Duration::from_millis(600)).await;
+        near.write_all(&[STARTUP, b"Q\0\0\0\x05\0"].concat()).await.expect("written");
+        near.write_all(&query("1", "list")).await.expect("written");
+        let Some(Input::Taken(taken)) = events.recv().await else { panic!("nothing was taken") };
+        sleep(Duration::from_millis(700)).await;
+        taken.reply.send(Answer::Served(b"the row".as_slice().into())).expect("still owed");
+        let mut got = Vec::new();
+        near.read_to_end(&mut got).await.expect("read");
+        let got = String::from_utf8_lossy(&got).into_owned();
+        assert!(got.contains("C57P03\0") && got.contains("the row"), "{got:?}");
+    };
+    let (reason, ()) = tokio::join!(session, client);
+    assert_eq!(reason, CloseReason::Stopping);
+}
+
 // Guards against losing what was taken when the client's next bytes make no sense, or when a stop comes.
 #[tokio::test(start_paused = true)]
 async fn what_was_taken_is_answered_before_the_connection_ends() {
@@ -365,7 +388,7 @@
             let rest = if broken { b"Q\0\0\0\0".as_slice() } else { b"" };
             near.write_all(&[startup, b"Q", &length, query, rest].concat()).await.expect("written");
             let Some(Input::Taken(taken)) = events.recv().await else { panic!("nothing was taken") };
-            let _ = tell.send(Phase::Closing);
+            let _ = tell.send(View { closes: true, ..SERVING });
             sleep(Duration::from_millis(300)).await;
             taken.reply.send(Answer::Served(b"the row".as_slice().into())).expect("still owed");
             let mut got = Vec::new();
