Members taken out by hand: list and bans merged by decisions::maintenance, shared over upgrades

Change: operators' words lie beside the lists and Route shows who is out as drained and gone, so no request, probe or connection goes there; the return counts as a start, so it is cold. The words lie in a checksummed file below TMPDIR that both versions merge.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod asking;
 pub mod door;
 pub mod lifecycle;
+pub mod maintenance;
 pub mod outage;
 pub mod policy;
 pub mod recovery;
--- /dev/null
+++ b/crates/decisions/src/maintenance.rs
@@ -0,0 +1,143 @@
+//! Members taken out by hand: operators' words on members, and how a listed member is shown to the policy because of
+//! them. Pure records; the newest word on a member counts, so that two processes that exchange theirs agree.
+
+use crate::api::{MemberState, Time};
+use std::collections::BTreeMap;
+
+/// So many members are known and so many words kept; far more than any list holds.
+const MOST: usize = 4_096;
+/// A member stays known for so long after a list last named it: it vanishes while it restarts. In microseconds.
+const KNOWN_FOR: u64 = 600_000_000;
+
+/// Operators' last word on a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Word {
+    /// When it was said, in Unix microseconds.
+    pub at: Time,
+    /// It is out, or may serve.
+    pub out: bool,
+}
+
+/// Why a word is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unheard {
+    /// No list of late has named this member.
+    Unknown,
+    /// Too many words are kept.
+    Full,
+}
+
+/// How a listed member is shown to the policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shown {
+    /// As it is listed, but started then, if told.
+    Listed(Option<Time>),
+    /// As drained and gone.
+    Out,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    seen: Time,
+    listed: bool,
+}
+
+/// The words, and who is known.
+#[derive(Debug, Default)]
+pub struct Maintenance {
+    words: BTreeMap<String, Word>,
+    known: BTreeMap<String, Known>,
+}
+
+impl Maintenance {
+    /// A list names a member; says how it is shown.
+    pub fn listed(&mut self, now: Time, id: &str, state: MemberState, started: Option<Time>) -> Shown {
+        let listed = state != MemberState::Gone;
+        match self.known.get_mut(id) {
+            Some(known) => *known = Known { seen: now, listed },
+            None => {
+                if self.known.len() >= MOST {
+                    let oldest = self.known.iter().min_by_key(|(_, known)| (known.listed, known.seen));
+                    let oldest = oldest.map(|(id, _)| id.clone());
+                    oldest.and_then(|id| self.known.remove(&id));
+                }
+                self.known.insert(id.to_string(), Known { seen: now, listed });
+            }
+        }
+        self.shown(id, started)
+    }
+
+    /// A whole list begins: whoever it does not name is not listed any more.
+    pub fn whole_list(&mut self, now: Time) {
+        for known in self.known.values_mut().filter(|known| known.listed) {
+            *known = Known { seen: now, listed: false };
+        }
+        let words = &self.words;
+        let out = |id: &String| words.get(id).is_some_and(|word| word.out);
+        self.known.retain(|id, known| known.seen.0 + KNOWN_FOR > now.0 || out(id));
+    }
+
+    fn shown(&self, id: &str, started: Option<Time>) -> Shown {
+        match self.words.get(id) {
+            Some(Word { out: true, .. }) => Shown::Out,
+            // It was restarted while it was out, whatever the list says and however late.
+            Some(back) => Shown::Listed(started.max(Some(back.at))),
+            None => Shown::Listed(started),
+        }
+    }
+
+    /// Operators say that a member is out, or back; whether that changes anything. Said again, it changes nothing.
+    pub fn say(&mut self, now: Time, id: &str, out: bool) -> Result<bool, Unheard> {
+        let before = self.words.get(id).copied();
+        let known = self.known.get(id).is_some_and(|k| k.listed || k.seen.0 + KNOWN_FOR > now.0);
+        if !known && !before.is_some_and(|word| word.out) {
+            return Err(Unheard::Unknown);
+        }
+        if before.is_some_and(|word| word.out) == out {
+            return Ok(false);
+        }
+        // A clock that was set back must not let an older word win.
+        let at = before.map_or(now, |word| now.max(Time(word.at.0 + 1)));
+        if before.is_none() && !self.room() {
+            return Err(Unheard::Full);
+        }
+        self.words.insert(id.to_string(), Word { at, out });
+        Ok(true)
+    }
+
+    /// Room for one more word, made if need be by dropping the oldest on somebody who is back.
+    fn room(&mut self) -> bool {
+        if self.words.len() >= MOST {
+            let back = self.words.iter().filter(|(_, word)| !word.out).min_by_key(|(_, word)| word.at);
+            let back = back.map(|(id, _)| id.clone());
+            back.and_then(|id| self.words.remove(&id));
+        }
+        self.words.len() < MOST
+    }
+
+    /// Another process of this proxy has said so; whether that changes how the member is shown.
+    pub fn hear(&mut self, id: &str, word: Word) -> bool {
+        let before = self.words.get(id).copied();
+        if before.is_some_and(|before| before >= word) || (before.is_none() && !self.room()) {
+            return false;
+        }
+        self.words.insert(id.to_string(), word);
+        before != Some(word)
+    }
+
+    /// All words.
+    pub fn words(&self) -> impl Iterator<Item = (&str, Word)> {
+        self.words.iter().map(|(id, word)| (id.as_str(), *word))
+    }
+
+    /// Whether operators have taken a member out.
+    pub fn is_out(&self, id: &str) -> bool {
+        self.words.get(id).is_some_and(|word| word.out)
+    }
+
+    /// Listed members, and those of them that are out by hand.
+    pub fn count(&self) -> (usize, usize) {
+        let listed = self.known.iter().filter(|(_, known)| known.listed);
+        listed.fold((0, 0), |(all, out), (id, _)| (all + 1, out + usize::from(self.is_out(id))))
+    }
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -9,6 +9,8 @@
 use crate::clients::phase::Course;
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::lifecycle::Event;
+use crate::maintenance::Unheard;
+use crate::takeover::words::Words;
 use call::{Call, CallCodec, CallError};
 use futures_util::StreamExt;
 use log::{info, warn};
@@ -41,6 +43,8 @@
 pub struct Controls {
     /// How far a drain or a stop has come.
     pub course: Rc<Course>,
+    /// What operators say of members.
+    pub words: Rc<Words>,
 }
 
 /// An answer: status, type of the text, text.
@@ -77,7 +81,22 @@
             Call::Status => said(503, "not serving"),
             Call::Standby => self.tell(Event::Standby, "draining"),
             Call::Active => self.tell(Event::Active, "serving"),
-            Call::Metrics | Call::Enter(_) | Call::Exit(_) => said(501, "not here yet"),
+            Call::Enter(id) => self.say(&id, true),
+            Call::Exit(id) => self.say(&id, false),
+            Call::Metrics => said(501, "not here yet"),
+        }
+    }
+
+    fn say(&self, id: &str, out: bool) -> Answer {
+        let state = if out { "out" } else { "in use" };
+        match self.words.say(id, out) {
+            Ok(changed) => {
+                let again = if changed { "" } else { ", as before" };
+                info!("operators: {id} is {state}{again}");
+                said(200, format!("{id} is {state}{again}"))
+            }
+            Err(Unheard::Unknown) => said(404, format!("no list of late has named {id}")),
+            Err(Unheard::Full) => said(409, "too many members are out"),
         }
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -43,6 +43,8 @@
     pub admin: Option<SocketAddr>,
     /// The descriptor of the clients' listening socket, where the platform holds it.
     pub inherited: Option<i32>,
+    /// The folder that two versions of an upgrade share: a file's part of `TMPDIR`, where upgrades or operators are.
+    pub shared: Option<PathBuf>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that this process may hold.
@@ -99,6 +101,8 @@
     pub admin: Option<String>,
     /// `LB_INHERITED_FD`.
     pub inherited: Option<String>,
+    /// `TMPDIR`.
+    pub temporary: Option<String>,
 }
 
 /// On what occasion the file is read.
@@ -110,6 +114,12 @@
     Again,
 }
 
+/// A name of a proxy as that of a folder.
+fn file_name(name: &str) -> String {
+    let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    format!("linenhill-{}", name.chars().take(64).map(plain).collect::<String>())
+}
+
 impl Config {
     /// Reads the file that `LB_CONFIG` names, and the other variables.
     pub fn from_environment(reading: Reading) -> Result<Config, ConfigError> {
@@ -122,6 +132,7 @@
             discovery: variable("LB_DISCOVERY"),
             admin: variable("LB_ADMIN"),
             inherited: variable("LB_INHERITED_FD"),
+            temporary: variable("TMPDIR"),
         };
         Config::parse(&text, &path, variables, reading)
     }
@@ -171,6 +182,22 @@
         let sockets = size(limits.sockets.unwrap_or(SOCKETS));
         let memory = size(limits.memory_mb.unwrap_or(MEMORY_MB)).saturating_mul(1 << 20);
         let name = variables.name.or(doc.name).unwrap_or_default();
-        Ok(Config { name, listen, discovery, admin, inherited, seed, sockets, memory, known, site, names })
+        // Without operators and upgrades nothing is written anywhere.
+        let shares = admin.is_some() || inherited.is_some();
+        let shared = variables.temporary.filter(|_| shares).map(|dir| Path::new(&dir).join(file_name(&name)));
+        Ok(Config {
+            name,
+            listen,
+            discovery,
+            admin,
+            inherited,
+            shared,
+            seed,
+            sockets,
+            memory,
+            known,
+            site,
+            names,
+        })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub use linenhill_decisions::{api, door, lifecycle, policy};
+pub use linenhill_decisions::{api, door, lifecycle, maintenance, policy};
 pub use linenhill_settings as settings;
 
 pub mod admin;
--- a/src/main.rs
+++ b/src/main.rs
@@ -63,6 +63,10 @@
         info!("operators call at {at}");
     }
     info!("{} listens on {listen}", config.name);
+    if let Some(dir) = &config.shared {
+        // Without the folder it goes as well; only an upgrade then starts without what the old version knew.
+        std::fs::create_dir_all(dir).unwrap_or_else(|e| warn!("{}: {e}", dir.display()));
+    }
     let listeners = Listeners { clients: listener, operators };
     let stop = async move {
         tokio::select! {
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -21,6 +21,7 @@
 use crate::stages::relay::Relay;
 use crate::stages::route::Route;
 use crate::stages::send::Sender;
+use crate::takeover::words::Words;
 use log::info;
 use std::fmt;
 use std::future::Future;
@@ -81,7 +82,7 @@
     config: Config, listeners: Listeners, counters: Rc<Counters>, discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), DriverEnded> {
-    let Config { site, names, known, .. } = config;
+    let Config { site, names, known, shared, .. } = config;
     // A connection of each operator, the listener, and one more that waits to be let in.
     let own = OWN + listeners.operators.as_ref().map_or(0, |_| OPERATORS + 2);
     let share = |part: f64| (config.sockets.saturating_sub(own) as f64 * part) as usize;
@@ -113,7 +114,12 @@
     if let Some(known) = known {
         let _ = inbox.send(Input::List(News::Known(known)));
     }
-    let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe.clone());
+    let maintenance = Rc::default();
+    let words =
+        Words::new(Rc::clone(&maintenance), shared.map(|dir| dir.join("words")), clock, inbox.clone());
+    let subscribed = subscribe.clone();
+    let route =
+        Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribed, maintenance);
     let driver = spawn_local(route.run());
     spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone(), ask_within));
     spawn_local(pool.look_after());
@@ -122,8 +128,12 @@
     spawn_local(course.clone().look_after());
     let view = course.watch();
     let mut serving = spawn_local(listener::run(listeners.clients, desk.clone(), doorway, view, counters));
+    spawn_local(words.clone().look_after());
     if let Some(operators) = listeners.operators {
-        spawn_local(admin::run(operators, Rc::new(Controls { course: course.clone() })));
+        spawn_local(admin::run(
+            operators,
+            Rc::new(Controls { course: course.clone(), words: words.clone() }),
+        ));
     }
     tokio::select! {
         () = stop => {}
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -53,4 +53,6 @@
     Probed(MemberId, Outcome, LoadReport),
     /// News of the list.
     List(News),
+    /// Operators have said something new on the member with this name.
+    Word(String),
 }
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -4,13 +4,15 @@
 use super::relay::Relay;
 use super::send::Sender;
 use super::{Answer, Input, Taken};
-use crate::api::{Action, Event, ListEntry, ListUpdate, MemberId, Outcome, RequestId, Time};
+use crate::api::{Action, Event, ListEntry, ListUpdate, MemberId, MemberState, Outcome, RequestId, Time};
 use crate::clock::Clock;
-use crate::discovery::list::{Listing, Names, News};
+use crate::discovery::list::{Listing, Names, News, Server};
+use crate::maintenance::{Maintenance, Shown};
 use crate::members::pool::Pool;
 use crate::policy::Router;
 use log::{error, info};
-use std::collections::BTreeSet;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +32,9 @@
     pool: Pool,
     names: Names,
     subscribe: Rc<Notify>,
+    maintenance: Rc<RefCell<Maintenance>>,
+    /// What lists last said of each member.
+    listed: BTreeMap<String, Server>,
     timers: BTreeSet<(Time, u64)>,
     actions: Vec<Action>,
 }
@@ -39,10 +44,23 @@
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         router: Router, clock: Clock, inbox: mpsc::UnboundedReceiver<Input>, sender: Sender, relay: Relay,
-        pool: Pool, names: Names, subscribe: Rc<Notify>,
+        pool: Pool, names: Names, subscribe: Rc<Notify>, maintenance: Rc<RefCell<Maintenance>>,
     ) -> Route {
-        let (timers, actions) = (BTreeSet::new(), Vec::new());
-        Route { router, clock, inbox, sender, relay, pool, names, subscribe, timers, actions }
+        let (listed, timers, actions) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        Route {
+            router,
+            clock,
+            inbox,
+            sender,
+            relay,
+            pool,
+            names,
+            subscribe,
+            maintenance,
+            listed,
+            timers,
+            actions,
+        }
     }
 
     /// Runs until nobody can send events any more.
@@ -117,9 +135,20 @@
                 let update = if full { ListUpdate::Full(entries) } else { ListUpdate::Changes(entries) };
                 self.list(update);
             }
+            Input::Word(id) => self.say_again(&id),
         }
     }
 
+    /// Operators have said something on a member: it is shown anew, at once.
+    fn say_again(&mut self, id: &str) {
+        let Some(server) = self.listed.get(id).cloned() else { return };
+        let mut entries = Vec::new();
+        self.show(server, &mut entries);
+        let member = entries.first().map(|e| e.member);
+        self.list(ListUpdate::Changes(Arc::new(entries)));
+        member.into_iter().for_each(|member| self.pool.close_idle(member));
+    }
+
     /// What the decisions forget of the members, everybody forgets.
     fn list(&mut self, update: ListUpdate) {
         self.handle(Event::List(update));
@@ -129,13 +158,35 @@
     }
 
     fn entries(&mut self, listing: Listing) -> Arc<Vec<ListEntry>> {
-        let (names, pool) = (&mut self.names, &self.pool);
-        let entry = |server| {
-            let (entry, addr) = names.entry(server);
-            pool.locate(entry.member, addr);
-            entry
-        };
-        Arc::new(listing.servers.into_iter().map(entry).collect())
+        if listing.full {
+            self.listed.clear();
+            self.maintenance.borrow_mut().whole_list(self.clock.now());
+        }
+        let mut entries = Vec::with_capacity(listing.servers.len());
+        for server in listing.servers {
+            if server.state == MemberState::Gone {
+                self.listed.remove(&server.id);
+            } else {
+                self.listed.insert(server.id.clone(), server.clone());
+            }
+            self.show(server, &mut entries);
+        }
+        Arc::new(entries)
+    }
+
+    /// The entries for a listed member, by what operators have said of it: who is out is shown as drained, and gone.
+    fn show(&mut self, server: Server, entries: &mut Vec<ListEntry>) {
+        let name = server.id.clone();
+        let (entry, addr) = self.names.entry(server);
+        self.pool.locate(entry.member, addr);
+        let now = self.clock.now();
+        match self.maintenance.borrow_mut().listed(now, &name, entry.state, entry.started) {
+            Shown::Listed(started) => entries.push(ListEntry { started, ..entry }),
+            Shown::Out => {
+                entries.push(ListEntry { state: MemberState::Draining, ..entry.clone() });
+                entries.push(ListEntry { state: MemberState::Gone, ..entry });
+            }
+        }
     }
 
     fn handle(&mut self, event: Event) {
--- /dev/null
+++ b/src/takeover/words.rs
@@ -0,0 +1,106 @@
+//! Operators' words on members, in this process and in a file that both versions of an upgrade share: a word told to
+//! either binds both, and those that come after.
+
+use super::saved;
+use crate::api::Time;
+use crate::clock::Clock;
+use crate::maintenance::{Maintenance, Unheard, Word};
+use crate::settings;
+use crate::stages::Input;
+use log::{info, warn};
+use miniserde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// How often the file is looked at: a word told to the other process binds this one well within any grace.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+#[derive(Serialize, Deserialize)]
+struct WordDoc {
+    id: String,
+    out: bool,
+    at_us: u64,
+}
+
+/// The words with their file.
+pub struct Words {
+    maintenance: Rc<RefCell<Maintenance>>,
+    file: Option<PathBuf>,
+    seen: Cell<Option<(SystemTime, u64)>>,
+    clock: Clock,
+    inbox: mpsc::UnboundedSender<Input>,
+}
+
+impl Words {
+    /// Words that are also kept in `file`, if there is one; what changes a member's standing goes to `inbox`.
+    pub fn new(
+        maintenance: Rc<RefCell<Maintenance>>, file: Option<PathBuf>, clock: Clock,
+        inbox: mpsc::UnboundedSender<Input>,
+    ) -> Rc<Words> {
+        let words = Words { maintenance, file, seen: Cell::new(None), clock, inbox };
+        words.look();
+        Rc::new(words)
+    }
+
+    /// Operators say that a member is out, or back; whether that changes anything.
+    pub fn say(&self, id: &str, out: bool) -> Result<bool, Unheard> {
+        self.look();
+        let changed = self.maintenance.borrow_mut().say(self.clock.now(), id, out)?;
+        if changed {
+            self.save();
+            let _ = self.inbox.send(Input::Word(id.to_string()));
+        }
+        Ok(changed)
+    }
+
+    /// Looks at the file for as long as the program runs.
+    pub async fn look_after(self: Rc<Words>) {
+        while self.file.is_some() {
+            sleep(LOOK_EVERY).await;
+            self.look();
+        }
+    }
+
+    /// Takes in what another process has written since, and writes again what it did not know.
+    fn look(&self) {
+        let Some(file) = &self.file else { return };
+        let stamp = std::fs::metadata(file).ok().and_then(|m| Some((m.modified().ok()?, m.len())));
+        if stamp == self.seen.get() {
+            return;
+        }
+        self.seen.set(stamp);
+        let text = match saved::read(file) {
+            Ok(text) => text,
+            Err(problem) => return warn!("{}: not taken: {problem}", file.display()),
+        };
+        let told = text.map(|text| settings::parse::<Vec<WordDoc>>(&text));
+        let told = match told.unwrap_or(Ok(Vec::new())) {
+            Ok(told) => told,
+            Err(problem) => return warn!("{}: not taken: {problem}", file.display()),
+        };
+        let count = told.len();
+        for doc in told {
+            let word = Word { at: Time(doc.at_us), out: doc.out };
+            if self.maintenance.borrow_mut().hear(&doc.id, word) {
+                info!("maintenance: {} is {}", doc.id, if doc.out { "out" } else { "back" });
+                let _ = self.inbox.send(Input::Word(doc.id));
+            }
+        }
+        if self.maintenance.borrow().words().count() > count {
+            self.save();
+        }
+    }
+
+    fn save(&self) {
+        let Some(file) = &self.file else { return };
+        let doc = |(id, word): (&str, Word)| WordDoc { id: id.to_string(), out: word.out, at_us: word.at.0 };
+        let docs: Vec<WordDoc> = self.maintenance.borrow().words().map(doc).collect();
+        if let Err(problem) = saved::write(file, &miniserde::json::to_string(&docs)) {
+            warn!("{}: not written: {problem}", file.display());
+        }
+    }
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 use harness::{Act, CONFIG, READ, answer, client, encoded, file, play_with, program, query, start};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
 use std::rc::Rc;
@@ -99,6 +100,64 @@
     command
 }
 
+// Guards against a member that is out and gets something, a word that an upgrade forgets or that binds one version
+// only, and a return that is owed a second call.
+#[test]
+fn a_member_that_is_out_gets_nothing_also_over_an_upgrade() {
+    let heard = Rc::new(RefCell::new([0; 3]));
+    let noted = heard.clone();
+    let act = move |member: usize, _| {
+        noted.borrow_mut()[member] += 1;
+        std::future::ready(Act::Row("served".into()))
+    };
+    let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-out", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).expect("a folder");
+    play_with("out", &with_door(), act, |_, first| async move {
+        let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = socket.local_addr().expect("an address");
+        let version = || {
+            let mut command = inheriting(&first.config, &socket, "5");
+            start(
+                {
+                    command.env("TMPDIR", &dir);
+                    command
+                },
+                first.config.clone(),
+            )
+        };
+        let ask = || async {
+            for _ in 0..30 {
+                assert!(answer(&mut client(at, &[READ]).await).await.contains("served"));
+            }
+        };
+        let old = version();
+        let door = old.address("operators call at ");
+        for _ in 0..2 {
+            assert_eq!(call(door, "POST /maintenance/enter?name=m%2D3").await.0, 200);
+        }
+        assert_eq!(call(door, "POST /maintenance/enter?name=m-9").await.0, 404);
+        let before = heard.borrow()[2];
+        ask().await;
+        assert_eq!(heard.borrow()[2], before, "out at once");
+        let new = version();
+        assert_eq!(call(new.address("operators call at "), "POST /maintenance/enter?name=m-2").await.0, 200);
+        old.says("m-2 is out").await;
+        let before = heard.borrow()[2];
+        ask().await;
+        old.signal("-TERM");
+        assert!(old.end().await.success());
+        ask().await;
+        assert_eq!(heard.borrow()[2], before, "an upgrade forgets nothing");
+        assert_eq!(call(new.address("operators call at "), "POST /maintenance/exit?name=m-3").await.0, 200);
+        while heard.borrow()[2] == before {
+            ask().await;
+        }
+        new.signal("-TERM");
+        assert!(new.end().await.success());
+    });
+}
+
 // Guards against a second version that can't start beside the first, and against clients turned back between the two.
 #[test]
 fn a_new_version_takes_over_the_same_socket_while_clients_ask() {
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -2,6 +2,7 @@
 //! seeds. One helper serves them all.
 
 use bytes::{Bytes, BytesMut};
+use linenhill::admin::call::{self, Call, CallCodec};
 use linenhill::config::{Config, Reading, Variables};
 use linenhill::discovery::http::WatchCodec;
 use linenhill::discovery::list;
@@ -10,6 +11,7 @@
 use linenhill::pg::frontend::FrontendCodec;
 use linenhill::pg::statement;
 use linenhill::request::Payload;
+use linenhill::takeover::saved;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::fmt::Debug;
 use std::path::Path;
@@ -192,6 +194,43 @@
     }
 }
 
+// Guards against a call that is taken for another one, however it is cut, and against a file left half written,
+// or by somebody else, that is believed.
+#[test]
+fn calls_and_saved_files_are_read_whole_or_not_at_all() {
+    let valid = b"POST /maintenance/enter?name=s%2D1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    check(31, valid, |parts| items(CallCodec, parts));
+    assert_eq!(items(CallCodec, &[valid]).0, ["Enter(\"s-1\")"]);
+    let ask = |line: &str| call::call("POST", line).map_err(|e| e.status());
+    assert_eq!(ask("/maintenance/exit?name=a+b%7e"), Ok(Call::Exit("a b~".into())));
+    for wrong in
+        ["", "?name=", "?name=a&name=b", "?name=%f", "?name=%zz", "?name=%00", "?nam=a", "?name=a&x=1"]
+    {
+        assert_eq!(ask(&format!("/maintenance/enter{wrong}")), Err(400), "{wrong}");
+    }
+    let long = format!("/maintenance/enter?name={}", "a".repeat(300));
+    assert_eq!(ask(&long), Err(400));
+    for (head, status) in [
+        ("Content-Length: 99999999999999999999\r\n", 413),
+        ("Content-Length: 3\r\nContent-Length: 4\r\n", 411),
+        ("Content-Length: +3\r\n", 411),
+        ("Transfer-Encoding: chunked\r\n", 411),
+    ] {
+        let mut whole = BytesMut::from(format!("GET /status HTTP/1.1\r\n{head}\r\nabcd").as_bytes());
+        assert_eq!(CallCodec.decode(&mut whole).map_err(|e| e.status()).err(), Some(status), "{head}");
+    }
+    let text = r#"[{"id":"a","out":true,"at_us":5}]"#;
+    let sealed = saved::sealed(text);
+    assert_eq!(saved::opened(sealed.as_bytes()).ok(), Some(text));
+    check_whole(32, sealed.as_bytes(), |bytes| saved::opened(bytes).ok().map(str::to_string));
+    for at in 0..sealed.len() {
+        assert!(saved::opened(&sealed.as_bytes()[..at]).is_err(), "torn at {at}");
+        let mut flipped = sealed.clone().into_bytes();
+        flipped[at] ^= 0x11;
+        assert!(saved::opened(&flipped).is_err(), "changed at {at}");
+    }
+}
+
 // Guards against a reload that moves nothing, and against a start that overlooks the variable.
 #[test]
 fn at_a_reload_the_files_discovery_stands_above_its_variable() {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -518,7 +518,8 @@
     let sender = Sender::new(pool.clone(), inbox.clone(), book.clone(), 6);
     let router = Router::new(config.site.settings, 42, clock.now());
     let (relay, asked) = (Relay::new(book), Rc::new(Notify::new()));
-    let route = Route::new(router, clock, events, sender, relay, pool.clone(), config.names, asked);
+    let route =
+        Route::new(router, clock, events, sender, relay, pool.clone(), config.names, asked, Rc::default());
     let list = |version: u64, id: &str| {
         let line = format!(
             r#"{{"version":{version},"full":true,"servers":[{{"id":"{id}","addr":"127.0.0.1:1",
