Figures for operators: each request a ticket in book, ended once, by class; attempts, members

Change: a request is counted from its last byte to its one end by a ticket in book (before, relay counted, and what the door or memory refused was counted beside it); a client that leaves ends its ticket as lapsed. Attempts count once written whole. Members listed and avoided are asked of the driver. Test: every kind of end, pending while held, a client that left, a member out by hand.

--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -131,6 +131,11 @@
         self.members.contains_key(&member)
     }
 
+    /// Whether a member gets no ordinary work now: it drains, is gone, or is ill.
+    pub fn avoids(&self, member: MemberId) -> bool {
+        self.members.get(&member).is_none_or(|m| m.state != MemberState::InService || m.ill.is_some())
+    }
+
     /// How many members, groups, requests and sessions are kept.
     pub fn records(&self) -> usize {
         let sessions: usize = self.groups.values().map(|g| g.sessions.by_key.len()).sum();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -242,6 +242,16 @@
     pub zero: u64,
 }
 
+impl Site {
+    /// The names of the classes, in the order of their numbers.
+    pub fn class_names(&self) -> Vec<&str> {
+        let mut names: Vec<(ClassId, &str)> =
+            self.classes.iter().map(|(name, id)| (*id, name.as_str())).collect();
+        names.sort_unstable_by_key(|(id, _)| id.0);
+        names.into_iter().map(|(_, name)| name).collect()
+    }
+}
+
 impl Profile {
     /// Checks every field and numbers the zones by `zones`.
     pub fn site(self, zones: &mut Names) -> Result<Site, FormError> {
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -8,8 +8,10 @@
 
 use crate::clients::phase::Course;
 use crate::close_reason::{CloseReason, Side, log_close};
+use crate::figures::Figures;
 use crate::lifecycle::Event;
 use crate::maintenance::Unheard;
+use crate::stages::Input;
 use crate::takeover::words::Words;
 use call::{Call, CallCodec, CallError};
 use futures_util::StreamExt;
@@ -21,7 +23,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedRead;
@@ -36,6 +38,9 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// A pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long the driver of the decisions is waited for.
+const ASK_WITHIN: Duration = Duration::from_millis(300);
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// A read's size.
 const READ_SIZE: usize = 1024;
 
@@ -45,6 +50,10 @@
     pub course: Rc<Course>,
     /// What operators say of members.
     pub words: Rc<Words>,
+    /// What they may read.
+    pub figures: Rc<Figures>,
+    /// Where the driver of the decisions is asked of members.
+    pub inbox: mpsc::UnboundedSender<Input>,
 }
 
 /// An answer: status, type of the text, text.
@@ -68,14 +77,14 @@
         409 => "Conflict",
         411 => "Length Required",
         413 => "Content Too Large",
-        501 => "Not Implemented",
+        500 => "Internal Server Error",
         503 => "Service Unavailable",
         _ => "Unknown",
     }
 }
 
 impl Controls {
-    fn answer(&self, call: Call) -> Answer {
+    async fn answer(&self, call: Call) -> Answer {
         match call {
             Call::Status if self.course.serves() => said(200, "serving"),
             Call::Status => said(503, "not serving"),
@@ -83,7 +92,7 @@
             Call::Active => self.tell(Event::Active, "serving"),
             Call::Enter(id) => self.say(&id, true),
             Call::Exit(id) => self.say(&id, false),
-            Call::Metrics => said(501, "not here yet"),
+            Call::Metrics => self.metrics().await,
         }
     }
 
@@ -100,6 +109,19 @@
         }
     }
 
+    async fn metrics(&self) -> Answer {
+        let (ask, asked) = oneshot::channel();
+        let _ = self.inbox.send(Input::Asked(ask));
+        // Figures that are a moment old are better than none.
+        if let Ok(Ok((listed, avoided))) = timeout(ASK_WITHIN, asked).await {
+            self.figures.members(listed, avoided);
+        }
+        match self.figures.text() {
+            Ok(text) => Answer { status: 200, kind: OPEN_METRICS, text },
+            Err(_) => said(500, "the figures can't be written"),
+        }
+    }
+
     fn tell(&self, event: Event, done: &str) -> Answer {
         match self.course.tell(event) {
             Ok(()) => {
@@ -156,7 +178,7 @@
     };
     whole();
     let (answer, reason) = match came {
-        Ok(Some(Ok(call))) => (controls.answer(call), CloseReason::Answered),
+        Ok(Some(Ok(call))) => (controls.answer(call).await, CloseReason::Answered),
         Ok(None) => return CloseReason::PeerClosed,
         Ok(Some(Err(CallError::Io(_)))) => return CloseReason::Io,
         Ok(Some(Err(problem))) => (said(problem.status(), problem.to_string()), CloseReason::Protocol),
--- a/src/clients/desk.rs
+++ b/src/clients/desk.rs
@@ -4,7 +4,7 @@
 use crate::budget::{Budget, Place};
 use crate::request::Incoming;
 use crate::stages::admit::{Admit, Edge};
-use crate::stages::book::Book;
+use crate::stages::book::{Book, Ticket};
 use crate::stages::intake::{Intake, IntakeError, OpenId};
 use crate::stages::{Answer, Input, Taken};
 use std::time::Duration;
@@ -28,6 +28,7 @@
     class: ClassId,
     writes: bool,
     id: OpenId,
+    ticket: Ticket,
 }
 
 impl Claim {
@@ -41,7 +42,7 @@
 pub struct Pending {
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
-    answered: bool,
+    ticket: Option<Ticket>,
     inbox: mpsc::UnboundedSender<Input>,
     _place: Place,
     _open: OpenId,
@@ -51,14 +52,14 @@
     /// The one final answer.
     pub async fn answer(&mut self) -> Answer {
         let answer = (&mut self.answer).await.unwrap_or(Answer::Failed);
-        self.answered = true;
+        self.ticket.take().into_iter().for_each(|ticket| ticket.end(&answer));
         answer
     }
 }
 
 impl Drop for Pending {
     fn drop(&mut self) {
-        if !self.answered {
+        if self.ticket.is_some() {
             let _ = self.inbox.send(Input::Gone(self.id));
         }
     }
@@ -70,18 +71,23 @@
         Desk { intake, admit, book, inbox }
     }
 
-    /// Refuses a request at the edge.
-    pub fn refuse(&self, edge: Edge, after: Span) -> Answer {
+    /// Refuses a request at the edge; without its class it is in no figure.
+    pub fn refuse(&self, edge: Edge, after: Span, class: Option<&str>) -> Answer {
         let answer = Answer::Refused { retry_after: Some(after) };
-        self.book.taken();
         self.book.refused_at(edge);
-        self.book.answered(&answer);
+        match class.and_then(|class| self.intake.named(class)) {
+            Some(class) => self.book.take(class).end(&answer),
+            None => self.book.refused(),
+        }
         answer
     }
 
-    /// Books a statement that could not be read.
-    pub fn malformed(&self) {
+    /// Books a statement that could not be read, or is answered as failed before it became a request.
+    pub fn malformed(&self, class: Option<&str>) {
         self.book.malformed();
+        if let Some(class) = class.and_then(|class| self.intake.named(class)) {
+            self.book.take(class).end(&Answer::Failed);
+        }
     }
 
     /// Requests held now.
@@ -98,22 +104,31 @@
     pub fn claim(&self, incoming: Incoming) -> Result<Claim, IntakeError> {
         let (class, id) = (self.intake.class(&incoming)?, self.intake.open(&incoming)?);
         let writes = self.intake.level(class) == ReadLevel::Write;
-        Ok(Claim { incoming, class, writes, id })
+        let ticket = self.book.take(class);
+        Ok(Claim { incoming, class, writes, id, ticket })
     }
 
     /// Hands a request in that has waited so long; the error is its final answer already.
     pub fn hand_in(&self, claim: Claim, waited: Duration) -> Result<Pending, Answer> {
-        let Claim { mut incoming, class, id: open, .. } = claim;
+        let Claim { mut incoming, class, id: open, ticket, .. } = claim;
         incoming.wait_ms = incoming.wait_ms.saturating_sub(waited.as_millis() as u64);
         let request = self.intake.take(&incoming, class);
-        let place = self.admit.request().map_err(|edge| self.refuse(edge, COME_BACK))?;
-        self.book.taken();
+        let place = match self.admit.request() {
+            Ok(place) => place,
+            Err(edge) => {
+                let answer = Answer::Refused { retry_after: Some(COME_BACK) };
+                self.book.refused_at(edge);
+                ticket.end(&answer);
+                return Err(answer);
+            }
+        };
         let (reply, answer) = oneshot::channel();
         let deadline = Instant::now() + Duration::from_micros(request.left.0);
         let id = request.id;
         let taken = Taken { request, payload: incoming.payload, deadline, reply };
         // Without a driver the channel is closed, and the answer is that it failed.
         let _ = self.inbox.send(Input::Taken(Box::new(taken)));
-        Ok(Pending { id, answer, answered: false, inbox: self.inbox.clone(), _place: place, _open: open })
+        let (ticket, inbox) = (Some(ticket), self.inbox.clone());
+        Ok(Pending { id, answer, ticket, inbox, _place: place, _open: open })
     }
 }
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -53,8 +53,8 @@
     Request(Box<Ask>),
     /// A statement that is no request, with its error.
     Malformed(Wire),
-    /// A request on a connection that is refused, with the time to come back.
-    Refused(Span),
+    /// A request on a connection that is refused, with the time to come back, and its class.
+    Refused(Span, Option<String>),
     /// An empty query.
     Empty,
     /// The extended protocol, which is not spoken here.
@@ -193,8 +193,8 @@
                 Came::Extended => {
                     self.reply([error("0A000", "the extended query protocol is not supported")]).await?;
                 }
-                Came::Refused(after) => {
-                    let refused = self.desk.refuse(Edge::Door, after);
+                Came::Refused(after, class) => {
+                    let refused = self.desk.refuse(Edge::Door, after, class.as_deref());
                     self.reply([wire(refused, true)]).await?;
                     return Err(CloseReason::EdgeFull);
                 }
@@ -238,22 +238,25 @@
             Frontend::Query(statement) if statement::is_empty(&statement) => return Came::Empty,
             Frontend::Query(statement) => match self.seated.manner() {
                 Manner::Serve => statement,
-                Manner::Refuse(after) => return Came::Refused(after),
+                Manner::Refuse(after) => {
+                    let class = statement::parse(&statement).ok().map(|s| s.class);
+                    return Came::Refused(after, class);
+                }
             },
         };
         let incoming = match statement::parse(&statement) {
             Ok(statement) => incoming(statement),
             Err(problem) => {
                 let wrong = matches!(problem, StatementError::Wrong(_));
-                return self.unread(if wrong { "22023" } else { "42601" }, problem);
+                return self.unread(if wrong { "22023" } else { "42601" }, problem, None);
             }
         };
-        let key = incoming.key.clone();
+        let (key, class) = (incoming.key.clone(), incoming.class.clone());
         let claim = match self.desk.claim(incoming) {
             Ok(claim) => claim,
             Err(problem) => {
                 let in_use = problem == IntakeError::IdInUse;
-                return self.unread(if in_use { "42710" } else { "22023" }, problem);
+                return self.unread(if in_use { "42710" } else { "22023" }, problem, Some(&class));
             }
         };
         let order = Order { key, writes: claim.writes() };
@@ -266,8 +269,8 @@
         Came::Request(Box::new(Ask { order, progress, _memory: memory }))
     }
 
-    fn unread(&self, code: &'static str, problem: impl ToString) -> Came {
-        self.desk.malformed();
+    fn unread(&self, code: &'static str, problem: impl ToString, class: Option<&str>) -> Came {
+        self.desk.malformed(class);
         Came::Malformed(error(code, problem))
     }
 
@@ -324,7 +327,7 @@
         let reason = io_reason(&problem);
         let answer = match problem {
             PgError::Io(_) => return reason,
-            PgError::Memory(_) => wire(self.desk.refuse(Edge::Memory, COME_BACK), true),
+            PgError::Memory(_) => wire(self.desk.refuse(Edge::Memory, COME_BACK, None), true),
             _ => fatal("08P01", problem),
         };
         let _ = self.reply([answer]).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config;
 pub mod counters;
 pub mod discovery;
+pub mod figures;
 pub mod members;
 pub mod pg;
 pub mod proxy;
--- a/src/members/attempt.rs
+++ b/src/members/attempt.rs
@@ -71,11 +71,13 @@
 
 async fn exchange(
     pool: &Pool, member: MemberId, statement: impl FnOnce() -> Bytes, progress: &Progress,
+    written: impl FnOnce(),
 ) -> Result<Reply, Outcome> {
     let mut link = link(pool, member).await?;
     *progress.reason.borrow_mut() = Some(link.reason());
     link.write(statement()).await?;
     progress.written.set(true);
+    written();
     let reply = link.read().await;
     if reply.reusable {
         pool.give(member, link);
@@ -84,15 +86,17 @@
 }
 
 /// Runs an attempt until it is answered, called off or out of time. Its connection is closed, or back in the
-/// pool, before this returns: nothing of a request is out once its ending is known.
-pub async fn run(pool: Pool, errand: Errand, called_off: oneshot::Receiver<()>) -> Ending {
+/// pool, before this returns: nothing of a request is out once its ending is known. `written` is told once its last byte is.
+pub async fn run(
+    pool: Pool, errand: Errand, called_off: oneshot::Receiver<()>, written: impl FnOnce(),
+) -> Ending {
     let Errand { member, payload, until } = errand;
     let progress = Progress::default();
     let statement = || {
         let left = until.saturating_duration_since(Instant::now());
         payload.render((left.as_millis() as u64).max(1))
     };
-    let work = exchange(&pool, member, statement, &progress);
+    let work = exchange(&pool, member, statement, &progress, written);
     tokio::pin!(work);
     tokio::select! {
         biased;
@@ -118,7 +122,7 @@
 /// Asks a member for its report.
 pub async fn probe(pool: Pool, member: MemberId) -> (Outcome, LoadReport) {
     let progress = Progress::default();
-    let work = exchange(&pool, member, || Bytes::from_static(b"SHOW health"), &progress);
+    let work = exchange(&pool, member, || Bytes::from_static(b"SHOW health"), &progress, || ());
     let Ok(done) = tokio::time::timeout(pool.connect_timeout(), work).await else {
         return (Outcome::TimedOut, LoadReport::default());
     };
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -11,6 +11,7 @@
 use crate::discovery;
 use crate::discovery::list::News;
 use crate::door::Bounds;
+use crate::figures::Figures;
 use crate::lifecycle::Event;
 use crate::members::pool::Pool;
 use crate::policy::Router;
@@ -92,7 +93,8 @@
     let connect = Duration::from_micros(limits.connect_timeout.0).max(Duration::from_millis(1));
     let pool = Pool::new(share(MEMBERS_PART), idle_close, connect, counters.clone());
     let (inbox, events) = mpsc::unbounded_channel();
-    let book = Book::new(counters.clone());
+    let figures = Rc::new(Figures::new(site.class_names()));
+    let book = Book::new(counters.clone(), figures.clone());
     let sender = Sender::new(pool.clone(), inbox.clone(), book.clone(), limits.max_attempts);
     let longest = Duration::from_micros(site.longest.0);
     let bounds = Bounds {
@@ -110,11 +112,11 @@
     let version = known.as_ref().map_or(0, |k| k.version);
     let ask_within = Duration::from_micros(site.settings.rules.ask_within.0);
     let router = Router::new(site.settings, config.seed, clock.now());
-    let relay = Relay::new(book);
+    let relay = Relay::default();
     if let Some(known) = known {
         let _ = inbox.send(Input::List(News::Known(known)));
     }
-    let maintenance = Rc::default();
+    let (asked, maintenance) = (inbox.clone(), Rc::default());
     let words =
         Words::new(Rc::clone(&maintenance), shared.map(|dir| dir.join("words")), clock, inbox.clone());
     let subscribed = subscribe.clone();
@@ -132,7 +134,7 @@
     if let Some(operators) = listeners.operators {
         spawn_local(admin::run(
             operators,
-            Rc::new(Controls { course: course.clone(), words: words.clone() }),
+            Rc::new(Controls { course: course.clone(), words: words.clone(), figures, inbox: asked }),
         ));
     }
     tokio::select! {
--- a/src/stages/book.rs
+++ b/src/stages/book.rs
@@ -2,23 +2,56 @@
 
 use super::Answer;
 use super::admit::Edge;
+use crate::api::ClassId;
 use crate::api::Outcome;
 use crate::counters::Counters;
+use crate::figures::{End, Figures};
 use std::rc::Rc;
 
 /// The stage.
 #[derive(Clone)]
-pub struct Book(Rc<Counters>);
+pub struct Book(Rc<Counters>, Rc<Figures>);
+
+/// A request from its last byte to its one end. Dropped before that, its client has left.
+pub struct Ticket {
+    book: Book,
+    class: ClassId,
+    ended: bool,
+}
+
+impl Ticket {
+    /// The request has its final answer.
+    pub fn end(mut self, answer: &Answer) {
+        self.ended = true;
+        self.book.answered(self.class, answer);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.book.0.lapsed.add();
+            self.book.1.ended(self.class.0, None);
+        }
+    }
+}
 
 impl Book {
-    /// Books into these counters.
-    pub fn new(counters: Rc<Counters>) -> Book {
-        Book(counters)
+    /// Books into these counters and figures.
+    pub fn new(counters: Rc<Counters>, figures: Rc<Figures>) -> Book {
+        Book(counters, figures)
     }
 
     /// A request was taken in.
-    pub fn taken(&self) {
+    pub fn take(&self, class: ClassId) -> Ticket {
         self.0.taken.add();
+        self.1.taken();
+        Ticket { book: self.clone(), class, ended: false }
+    }
+
+    /// An attempt was written whole.
+    pub fn written(&self) {
+        self.1.written();
     }
 
     /// A request could not be read.
@@ -36,13 +69,20 @@
         self.0.probes.add();
     }
 
-    /// A final answer was given.
-    pub fn answered(&self, answer: &Answer) {
-        match answer {
-            Answer::Served(_) => self.0.served.add(),
-            Answer::Refused { .. } => self.0.refused.add(),
-            Answer::Failed => self.0.failed.add(),
-        }
+    fn answered(&self, class: ClassId, answer: &Answer) {
+        let (count, end) = match answer {
+            Answer::Served(_) => (&self.0.served, End::Completed),
+            Answer::Refused { .. } => (&self.0.refused, End::Rejected),
+            Answer::Failed => (&self.0.failed, End::Failed),
+        };
+        count.add();
+        self.1.ended(class.0, Some(end));
+    }
+
+    /// A request whose class nobody knows was refused.
+    pub fn refused(&self) {
+        self.0.taken.add();
+        self.0.refused.add();
     }
 
     /// A request was refused before the decisions saw it, for this reason.
@@ -54,11 +94,6 @@
         }
     }
 
-    /// A client left before its answer.
-    pub fn lapsed(&self) {
-        self.0.lapsed.add();
-    }
-
     /// An attempt ended.
     pub fn ended(&self, outcome: Outcome) {
         let c = &self.0;
--- a/src/stages/intake.rs
+++ b/src/stages/intake.rs
@@ -71,7 +71,12 @@
 
     /// The class's number.
     pub fn class(&self, incoming: &Incoming) -> Result<ClassId, IntakeError> {
-        self.classes.get(&incoming.class).copied().ok_or(IntakeError::UnknownClass)
+        self.named(&incoming.class).ok_or(IntakeError::UnknownClass)
+    }
+
+    /// The number of the class with this name.
+    pub fn named(&self, class: &str) -> Option<ClassId> {
+        self.classes.get(class).copied()
     }
 
     /// How fresh a class's data must be, or that it writes.
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -53,6 +53,8 @@
     Probed(MemberId, Outcome, LoadReport),
     /// News of the list.
     List(News),
+    /// Somebody asks how many members are listed, and how many of them avoided.
+    Asked(oneshot::Sender<(usize, usize)>),
     /// Operators have said something new on the member with this name.
     Word(String),
 }
--- a/src/stages/relay.rs
+++ b/src/stages/relay.rs
@@ -1,25 +1,19 @@
 //! Hands the one final answer of a request to whoever waits for it.
 
 use super::Answer;
-use super::book::Book;
 use crate::api::RequestId;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// The stage.
+#[derive(Default)]
 pub struct Relay {
     open: BTreeMap<RequestId, (oneshot::Sender<Answer>, Instant)>,
     due: BTreeSet<(Instant, RequestId)>,
-    book: Book,
 }
 
 impl Relay {
-    /// Nothing is owed yet.
-    pub fn new(book: Book) -> Relay {
-        Relay { open: BTreeMap::new(), due: BTreeSet::new(), book }
-    }
-
     /// From now on an answer is owed, until `due`.
     pub fn owe(&mut self, id: RequestId, reply: oneshot::Sender<Answer>, due: Instant) {
         self.open.insert(id, (reply, due));
@@ -45,7 +39,6 @@
     /// Gives the final answer; false when the request was over before.
     pub fn answer(&mut self, id: &RequestId, answer: Answer) -> bool {
         let Some(reply) = self.close(id) else { return false };
-        self.book.answered(&answer);
         // The client may have left a moment ago; its word is on the way.
         let _ = reply.send(answer);
         true
@@ -53,10 +46,6 @@
 
     /// The client has left: nothing is owed any more.
     pub fn lapse(&mut self, id: &RequestId) -> bool {
-        let open = self.close(id).is_some();
-        if open {
-            self.book.lapsed();
-        }
-        open
+        self.close(id).is_some()
     }
 }
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -34,7 +34,7 @@
     subscribe: Rc<Notify>,
     maintenance: Rc<RefCell<Maintenance>>,
     /// What lists last said of each member.
-    listed: BTreeMap<String, Server>,
+    listed: BTreeMap<String, (Server, MemberId)>,
     timers: BTreeSet<(Time, u64)>,
     actions: Vec<Action>,
 }
@@ -136,12 +136,22 @@
                 self.list(update);
             }
             Input::Word(id) => self.say_again(&id),
+            Input::Asked(reply) => _ = reply.send((self.listed.len(), self.avoided())),
         }
     }
 
+    /// Listed members that get nothing now: out by hand, draining, or avoided by the decisions.
+    fn avoided(&self) -> usize {
+        let maintenance = self.maintenance.borrow();
+        let avoided = |(name, (_, member)): &(&String, &(Server, MemberId))| {
+            maintenance.is_out(name) || self.router.avoids(*member)
+        };
+        self.listed.iter().filter(avoided).count()
+    }
+
     /// Operators have said something on a member: it is shown anew, at once.
     fn say_again(&mut self, id: &str) {
-        let Some(server) = self.listed.get(id).cloned() else { return };
+        let Some((server, _)) = self.listed.get(id).cloned() else { return };
         let mut entries = Vec::new();
         self.show(server, &mut entries);
         let member = entries.first().map(|e| e.member);
@@ -164,11 +174,6 @@
         }
         let mut entries = Vec::with_capacity(listing.servers.len());
         for server in listing.servers {
-            if server.state == MemberState::Gone {
-                self.listed.remove(&server.id);
-            } else {
-                self.listed.insert(server.id.clone(), server.clone());
-            }
             self.show(server, &mut entries);
         }
         Arc::new(entries)
@@ -177,7 +182,12 @@
     /// The entries for a listed member, by what operators have said of it: who is out is shown as drained, and gone.
     fn show(&mut self, server: Server, entries: &mut Vec<ListEntry>) {
         let name = server.id.clone();
-        let (entry, addr) = self.names.entry(server);
+        let (entry, addr) = self.names.entry(server.clone());
+        if entry.state == MemberState::Gone {
+            self.listed.remove(&name);
+        } else {
+            self.listed.insert(name.clone(), (server, entry.member));
+        }
         self.pool.locate(entry.member, addr);
         let now = self.clock.now();
         match self.maintenance.borrow_mut().listed(now, &name, entry.state, entry.started) {
--- a/src/stages/send.rs
+++ b/src/stages/send.rs
@@ -63,9 +63,10 @@
         };
         let errand = Errand { member, payload: job.payload.clone(), until };
         let (pool, book) = (self.pool.clone(), self.book.clone());
+        let counted = book.clone();
         book.sent();
         tokio::task::spawn_local(async move {
-            let ending = attempt::run(pool, errand, called_off).await;
+            let ending = attempt::run(pool, errand, called_off, || counted.written()).await;
             book.ended(ending.outcome);
             let _ = inbox.send(ended(id, number, member, started, ending));
         });
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -100,6 +100,67 @@
     command
 }
 
+/// A figure by its name and labels.
+fn figure(text: &str, name: &str) -> u64 {
+    let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+    line.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
+}
+
+// Guards against figures that miss a way in which a request can end, count one twice, or lack a class that nobody used.
+#[test]
+fn the_figures_count_each_request_once_whichever_way_it_ends() {
+    let go = Rc::new(tokio::sync::Semaphore::new(0));
+    let wait = go.clone();
+    let act = move |_, statement: String| {
+        let wait = wait.clone();
+        async move {
+            match statement {
+                s if s.contains("error") => Act::Error("XX000"),
+                s if s.contains("full") => Act::Error("53300"),
+                s if s.contains("hold") => {
+                    let _ = wait.acquire().await;
+                    Act::Row("served".into())
+                }
+                _ => Act::Row("served".into()),
+            }
+        }
+    };
+    play_with("figures", &with_door(), act, |at, program| async move {
+        let door = program.address("operators call at ");
+        let fetch = || async { call(door, "GET /status/metrics").await.1 };
+        let ended = |text: &str, class: &str, result: &str| {
+            figure(text, &format!("proxy_downstream_requests_total{{lane=\"{class}\",result=\"{result}\"}}"))
+        };
+        let text = fetch().await;
+        for class in ["list", "own", "order"] {
+            assert_eq!(["completed", "rejected", "failed"].map(|r| ended(&text, class, r)), [0; 3]);
+        }
+        assert_eq!((figure(&text, "proxy_members"), figure(&text, "proxy_members_unavailable")), (3, 0));
+        let read = |n: u32, what: &str| READ.replace("id=a1", &format!("id=f{n}")).replace("'aa'", what);
+        let mut held = client(at, &[&read(1, "'hold'")]).await;
+        let mut one = client(at, &[&read(2, "'x'"), &read(1, "'again'"), &read(3, "'full'")]).await;
+        for words in ["served", "C42710\0", "C53300\0"] {
+            assert!(answer(&mut one).await.contains(words));
+        }
+        let write = READ.replace("c=list", "c=order").replace("id=a1", "id=f4").replace("'aa'", "'error'");
+        let mut failing = client(at, &[&write]).await;
+        assert!(answer(&mut failing).await.contains("C08007\0"));
+        let left = client(at, &[&read(5, "'hold'")]).await;
+        while figure(&fetch().await, "proxy_pending") != 2 {}
+        drop(left);
+        while figure(&fetch().await, "proxy_pending") != 1 {}
+        go.add_permits(9);
+        assert!(answer(&mut held).await.contains("served"));
+        assert_eq!(call(door, "POST /maintenance/enter?name=m-2").await.0, 200);
+        let text = fetch().await;
+        assert_eq!(["completed", "rejected", "failed"].map(|r| ended(&text, "list", r)), [2, 1, 1]);
+        assert_eq!(["completed", "rejected", "failed"].map(|r| ended(&text, "order", r)), [0, 0, 1]);
+        assert_eq!((figure(&text, "proxy_pending"), figure(&text, "proxy_members_unavailable")), (0, 1));
+        // At least one attempt for each that reached a member, and as many as members were seen to turn away.
+        assert!(figure(&text, "proxy_upstream_requests_total") >= 5, "{text}");
+    });
+}
+
 // Guards against a member that is out and gets something, a word that an upgrade forgets or that binds one version
 // only, and a return that is owed a second call.
 #[test]
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -17,6 +17,7 @@
 use linenhill::counters::Counters;
 use linenhill::discovery::{self, list, list::News};
 use linenhill::door::Bounds;
+use linenhill::figures::Figures;
 use linenhill::lifecycle::View;
 use linenhill::members::link::Link;
 use linenhill::members::pool::Pool;
@@ -98,10 +99,14 @@
         .expect("a configuration");
     let (inbox, events) = mpsc::unbounded_channel();
     let intake = Intake::new(&config.site, Clock::start());
-    let book = Book::new(Rc::new(Counters::default()));
+    let book = Book::new(Rc::new(Counters::default()), figures());
     (Rc::new(Desk::new(intake, Admit::new(9, 256 * 1024), book, inbox)), events)
 }
 
+fn figures() -> Rc<Figures> {
+    Rc::new(Figures::new(["list", "own", "order"]))
+}
+
 fn bounds(places: usize) -> Bounds {
     Bounds { places, stands: 0, leaving: 2, requests: 99, longest: Span(2_000_000) }
 }
@@ -514,10 +519,10 @@
     let second = Duration::from_secs(1);
     let pool = Pool::new(9, second, second, counters.clone());
     let (inbox, events) = mpsc::unbounded_channel();
-    let (clock, book) = (Clock::start(), Book::new(counters));
+    let (clock, book) = (Clock::start(), Book::new(counters, figures()));
     let sender = Sender::new(pool.clone(), inbox.clone(), book.clone(), 6);
     let router = Router::new(config.site.settings, 42, clock.now());
-    let (relay, asked) = (Relay::new(book), Rc::new(Notify::new()));
+    let (relay, asked) = (Relay::default(), Rc::new(Notify::new()));
     let route =
         Route::new(router, clock, events, sender, relay, pool.clone(), config.names, asked, Rc::default());
     let list = |version: u64, id: &str| {
@@ -554,7 +559,7 @@
 // Guards against a time limit kept long after its request is over, for a client that said it waits long.
 #[tokio::test(start_paused = true)]
 async fn nothing_is_due_once_it_is_answered() {
-    let mut relay = Relay::new(Book::new(Rc::new(Counters::default())));
+    let mut relay = Relay::default();
     let due = tokio::time::Instant::now() + Duration::from_secs(600);
     let ids = [RequestId([1; 36]), RequestId([2; 36])];
     let replies = ids.map(|id| {
