Values to 4 MiB both ways: long rows passed as they come, long messages read once memory is granted

Change: a long row's head ends the attempt, its parts pass through a window of four; broken off, it ends the client's connection. A long message is announced by its length and read once that much memory is granted, in the order of asking, from a part of its own; it goes to the member without a copy. A head may take 2 s and more.

--- a/examples/toy/peer.rs
+++ b/examples/toy/peer.rs
@@ -4,9 +4,11 @@
 use futures_util::{SinkExt, StreamExt};
 use linenhill::pg::frontend::{Answer, Frontend, FrontendCodec};
 use std::future::Future;
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio_util::codec::Framed;
 
 /// What a member does with a statement.
@@ -17,6 +19,8 @@
     Error(&'static str),
     /// Breaks the connection.
     Break,
+    /// Breaks it in the middle of a row of this value.
+    Torn(String),
     /// Says nothing until the proxy hangs up, then calls this.
     Silence(Box<dyn FnOnce()>),
 }
@@ -75,6 +79,17 @@
                         answers.push(Answer::Error { fatal: false, code, message, detail });
                     }
                     Act::Break => return None,
+                    Act::Torn(value) => {
+                        for part in row(&value).into_iter().take(2) {
+                            let Answer::Raw(raw) = part else { return None };
+                            framed
+                                .get_mut()
+                                .write_all(&raw[..raw.len().div_ceil(2).max(64).min(raw.len())])
+                                .await
+                                .ok()?;
+                        }
+                        return None;
+                    }
                     Act::Silence(hung_up) => {
                         while framed.get_mut().read_u8().await.is_ok() {}
                         hung_up();
@@ -85,6 +100,11 @@
                 answers.push(parameter("lsn_ms", &now.to_string()));
                 answers.push(parameter("health", &health));
             }
+            Frontend::Announced(length) => {
+                let memory = Arc::new(Semaphore::new(length));
+                framed.codec_mut().grant(memory.acquire_many_owned(length as u32).await.ok()?);
+                continue;
+            }
             _ => return None,
         }
         answers.push(Answer::Ready);
--- a/src/clients/desk.rs
+++ b/src/clients/desk.rs
@@ -7,8 +7,10 @@
 use crate::stages::book::{Book, Ticket};
 use crate::stages::intake::{Intake, IntakeError, OpenId};
 use crate::stages::{Answer, Input, Taken};
+use bytes::Bytes;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::Instant;
 
 /// Advice to clients that are refused for want of memory or of room among the requests held.
@@ -52,9 +54,20 @@
     /// The one final answer.
     pub async fn answer(&mut self) -> Answer {
         let answer = (&mut self.answer).await.unwrap_or(Answer::Failed);
-        self.ticket.take().into_iter().for_each(|ticket| ticket.end(&answer));
+        if !matches!(answer, Answer::Passing(_)) {
+            self.end(&answer);
+        }
         answer
     }
+
+    /// The end of a long answer that was passed on, or cut off.
+    pub fn passed(&mut self, whole: bool) {
+        self.end(&if whole { Answer::Served(Bytes::new()) } else { Answer::Failed });
+    }
+
+    fn end(&mut self, answer: &Answer) {
+        self.ticket.take().into_iter().for_each(|ticket| ticket.end(answer));
+    }
 }
 
 impl Drop for Pending {
@@ -100,6 +113,11 @@
         self.admit.memory()
     }
 
+    /// The memory that long messages share, granted in the order of asking; none for what could never be granted.
+    pub fn long_memory(&self, length: usize) -> Option<(Arc<Semaphore>, u32)> {
+        self.admit.long(length)
+    }
+
     /// Claims a request's id when it comes.
     pub fn claim(&self, incoming: Incoming) -> Result<Claim, IntakeError> {
         let (class, id) = (self.intake.class(&incoming)?, self.intake.open(&incoming)?);
--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -10,10 +10,10 @@
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
 use crate::pg::statement::{self, Statement, StatementError};
 use crate::request::{Incoming, Payload};
-use crate::stages::Answer;
 use crate::stages::admit::Edge;
 use crate::stages::intake::IntakeError;
-use bytes::BytesMut;
+use crate::stages::{Answer, Flow, Passed};
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -21,12 +21,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::Framed;
 
 /// A client that has not sent its startup message by then is let go.
-const STARTUP_WITHIN: Duration = Duration::from_millis(2_500);
+const STARTUP_WITHIN: Duration = Duration::from_millis(3_500);
 /// A client that doesn't read its answer for so long is let go.
 const WRITE_WITHIN: Duration = Duration::from_secs(3);
 /// After a fatal error, what the client still sends is read away so that the error reaches it: until it has
@@ -37,14 +37,22 @@
 /// Accepted amid a drain or a stop, a client is waited for so long: it connects in order to ask. The last are accepted
 /// 0.45 s after a stop began, and what comes over 0.7 s after it may not be answered in time (the platform's figure).
 const NEWCOMER_WITHIN: Duration = Duration::from_millis(250);
-/// A message that has begun is there whole by then.
-const MESSAGE_WITHIN: Duration = Duration::from_millis(2_500);
+/// A message that has begun is there whole by then; a client may spend 2 s on a head, and is looked at in steps.
+const MESSAGE_WITHIN: Duration = Duration::from_millis(3_500);
 /// How often a message that has begun is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Commands that one connection may have waiting; with one more it ends.
 const PIPELINE_MOST: usize = 16;
 /// So many malformed statements in a row end a connection.
 const MALFORMED_MOST: u32 = 8;
+/// A client takes the next part of a long answer within this long, or is let go: peers take seconds.
+const TAKE_WITHIN: Duration = Duration::from_secs(10);
+/// Memory for a long message is waited for so long; its time begins only with its last byte.
+const MEMORY_WITHIN: Duration = Duration::from_secs(5);
+/// A long message may come in for so many looks: half a minute.
+const LONG_LOOKS: u32 = 60;
+/// The comment of a statement is looked for in so many bytes.
+const COMMENT_MOST: usize = 1024;
 /// A buffer that grew past this is given back after the answer.
 const BUFFER_KEPT: usize = 32 * 1024;
 
@@ -73,6 +81,7 @@
     order: Order,
     progress: Progress,
     _memory: Option<Place>,
+    _long: Option<OwnedSemaphorePermit>,
 }
 
 /// What a request's order on its connection hangs on: its key, and whether it writes.
@@ -104,6 +113,8 @@
     waiting: VecDeque<Came>,
     /// The order of the request that is answered next.
     next: Order,
+    /// A long message has begun behind the request that is answered now: it is read after that.
+    announced: Option<usize>,
     /// The input is broken: what was taken is answered, then the connection ends.
     broken: Option<PgError>,
     /// An extended message came: all up to the next Sync is passed over.
@@ -122,8 +133,9 @@
     let framed = Framed::new(stream, FrontendCodec::new(desk.memory()));
     let (waiting, next, broken) = (VecDeque::new(), Order::default(), None);
     let (since, heard) = (Instant::now(), false);
-    let (skipping, malformed) = (false, 0);
-    let mut s = Session { framed, desk, seated, waiting, next, broken, skipping, malformed, since, heard };
+    let (skipping, malformed, announced) = (false, 0, None);
+    let mut s =
+        Session { framed, desk, seated, waiting, next, announced, broken, skipping, malformed, since, heard };
     let reason = match s.serve(&mut view).await {
         Ok(()) => CloseReason::Terminated,
         Err(reason) => reason,
@@ -162,6 +174,8 @@
 fn wire(answer: Answer, fatal: bool) -> Wire {
     match answer {
         Answer::Served(raw) => Wire::Raw(raw),
+        // Its rest is passed on by whoever holds it.
+        Answer::Passing(flow) => Wire::Raw(flow.first),
         Answer::Refused { retry_after } => Wire::Error {
             fatal,
             code: "53300",
@@ -220,7 +234,7 @@
     /// Takes a message apart when it comes. A request is handed in at once, also behind others, unless one of
     /// them writes to its key, or it writes to theirs.
     fn came(&mut self, message: Frontend) -> Came {
-        let memory = self.framed.codec_mut().share();
+        let (memory, long) = (self.framed.codec_mut().share(), self.framed.codec_mut().share_long());
         self.heard = true;
         let statement = match message {
             Frontend::Sync => {
@@ -233,7 +247,11 @@
                 self.skipping = true;
                 return Came::Extended;
             }
-            Frontend::Encryption | Frontend::Cancel | Frontend::Startup | Frontend::Idle => {
+            Frontend::Encryption
+            | Frontend::Cancel
+            | Frontend::Startup
+            | Frontend::Idle
+            | Frontend::Announced(_) => {
                 return Came::Passed;
             }
             Frontend::Query(statement) if statement::is_empty(&statement) => return Came::Empty,
@@ -267,7 +285,7 @@
         } else {
             Progress::HandedIn(self.desk.hand_in(claim, Duration::ZERO))
         };
-        Came::Request(Box::new(Ask { order, progress, _memory: memory }))
+        Came::Request(Box::new(Ask { order, progress, _memory: memory, _long: long }))
     }
 
     fn unread(&self, code: &'static str, problem: impl ToString, class: Option<&str>) -> Came {
@@ -298,7 +316,10 @@
         if let Some(problem) = self.broken.take() {
             return Err(self.violation(problem).await);
         }
-        let mut begun = None;
+        if let Some(length) = self.announced.take() {
+            self.reserve(length).await?;
+        }
+        let (mut begun, mut there, mut looks) = (None, 0, 0);
         let heard_by = if self.heard { Instant::now() } else { self.since + NEWCOMER_WITHIN };
         loop {
             let ends = async {
@@ -309,6 +330,10 @@
                 biased;
                 next = self.framed.next() => return match next {
                     None => Ok(None),
+                    Some(Ok(Frontend::Announced(length))) => {
+                        self.reserve(length).await?;
+                        continue;
+                    }
                     Some(Ok(message)) => Ok(Some(message)),
                     Some(Err(problem)) => Err(self.violation(problem).await),
                 },
@@ -322,6 +347,12 @@
                 () = self.seated.told_to_leave() => return Err(CloseReason::MadeRoom),
                 () = sleep(LOOK_EVERY) => {}
             }
+            // A long message takes its time, but goes on.
+            let had = std::mem::replace(&mut there, self.framed.read_buffer().len());
+            looks += 1;
+            if self.framed.codec().reads_long() && there > had && looks < LONG_LOOKS {
+                begun = None;
+            }
             if self.framed.read_buffer().is_empty() {
                 begun = None;
             } else if begun.get_or_insert_with(Instant::now).elapsed() + LOOK_EVERY >= MESSAGE_WITHIN {
@@ -343,14 +374,21 @@
 
     /// One request, to its answer. Meanwhile the client may send more, or leave.
     async fn query(&mut self, ask: Box<Ask>) -> Result<(), CloseReason> {
-        let Ask { order, progress, _memory } = *ask;
+        let Ask { order, progress, _memory, _long } = *ask;
         self.next = order;
         let handed_in = match progress {
             Progress::HandedIn(handed_in) => handed_in,
             Progress::Later(claim, since) => self.desk.hand_in(claim, since.elapsed()),
         };
         let answer = match handed_in {
-            Ok(pending) => self.answer(pending).await?,
+            Ok(mut pending) => match self.answer(&mut pending).await? {
+                Answer::Passing(flow) => {
+                    self.pass(flow, &mut pending).await?;
+                    self.next = Order::default();
+                    return Ok(());
+                }
+                answer => answer,
+            },
             Err(answer) => answer,
         };
         self.next = Order::default();
@@ -359,14 +397,59 @@
         Ok(())
     }
 
-    async fn answer(&mut self, mut pending: Pending) -> Result<Answer, CloseReason> {
+    /// Passes a long answer on as it comes. One that is cut off ends the connection, so that its client sees it.
+    async fn pass(&mut self, mut flow: Flow, pending: &mut Pending) -> Result<(), CloseReason> {
+        self.reply([Wire::Raw(std::mem::take(&mut flow.first))]).await?;
+        loop {
+            match flow.rest.recv().await {
+                Some(Passed::Part(part)) => {
+                    let written = timeout(TAKE_WITHIN, self.framed.get_mut().write_all(&part)).await;
+                    written.map_err(|_| CloseReason::WriteTimeout)?.map_err(|_| CloseReason::ClientGone)?;
+                }
+                Some(Passed::Whole(end)) => {
+                    pending.passed(true);
+                    return self.reply([Wire::Raw(end), Wire::Ready]).await;
+                }
+                None => {
+                    pending.passed(false);
+                    return Err(CloseReason::CutOff);
+                }
+            }
+        }
+    }
+
+    /// Waits for the memory of a long message; nothing is read meanwhile.
+    async fn reserve(&mut self, length: usize) -> Result<(), CloseReason> {
+        let granted = match self.desk.long_memory(length) {
+            Some((memory, bytes)) => timeout(MEMORY_WITHIN, memory.acquire_many_owned(bytes)).await,
+            None => return Err(self.no_memory().await),
+        };
+        match granted {
+            Ok(Ok(granted)) => self.framed.codec_mut().grant(granted),
+            _ => return Err(self.no_memory().await),
+        }
+        Ok(())
+    }
+
+    /// Refuses the message that has begun; its class is known if its comment is there.
+    async fn no_memory(&mut self) -> CloseReason {
+        let begun = self.framed.read_buffer();
+        let begun = Bytes::copy_from_slice(begun.get(5..begun.len().min(COMMENT_MOST)).unwrap_or_default());
+        let class = statement::parse(&begun).ok().map(|s| s.class);
+        let refused = self.desk.refuse(Edge::Memory, COME_BACK, class.as_deref());
+        let _ = self.reply([wire(refused, true)]).await;
+        CloseReason::Protocol
+    }
+
+    async fn answer(&mut self, pending: &mut Pending) -> Result<Answer, CloseReason> {
         loop {
-            let reads = self.broken.is_none();
+            let reads = self.broken.is_none() && self.announced.is_none();
             tokio::select! {
                 biased;
                 answer = pending.answer() => return Ok(answer),
                 next = self.framed.next(), if reads => match next {
                     None | Some(Err(PgError::Io(_))) => return Err(CloseReason::ClientGone),
+                    Some(Ok(Frontend::Announced(length))) => self.announced = Some(length),
                     Some(Ok(Frontend::Terminate)) if self.waiting.is_empty() => {
                         return Err(CloseReason::ClientGone);
                     }
--- a/src/close_reason.rs
+++ b/src/close_reason.rs
@@ -86,6 +86,8 @@
     Silent = "silent",
     /// The watch ended.
     WatchEnded = "watch-ended",
+    /// The long answer that was passed on broke off.
+    CutOff = "cut-off",
     /// The operator's call was answered.
     Answered = "answered",
 }
--- a/src/members/attempt.rs
+++ b/src/members/attempt.rs
@@ -2,16 +2,20 @@
 
 use crate::api::{LoadReport, MemberId, Outcome, Role, Time};
 use crate::close_reason::CloseReason;
-use crate::members::link::{Link, Reply};
+use crate::members::link::{Link, Reply, Rest};
 use crate::members::pool::Pool;
 use crate::members::report;
 use crate::request::Payload;
+use crate::stages::{Flow, Passed, Value};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
+/// Parts of a long answer that may wait for the client to take them.
+const WINDOW: usize = 4;
+
 /// What is to be done.
 pub struct Errand {
     /// Where.
@@ -27,7 +31,7 @@
     /// The outcome.
     pub outcome: Outcome,
     /// The answer to relay, when served.
-    pub value: Option<Bytes>,
+    pub value: Option<Value>,
     /// The member's position, or a write's commit.
     pub position: Option<Time>,
     /// Its role.
@@ -70,19 +74,23 @@
 }
 
 async fn exchange(
-    pool: &Pool, member: MemberId, statement: impl FnOnce() -> Bytes, progress: &Progress,
+    pool: &Pool, member: MemberId, statement: impl FnOnce() -> (Bytes, Bytes), progress: &Progress,
     written: impl FnOnce(),
-) -> Result<Reply, Outcome> {
+) -> Result<(Reply, Option<Link>), Outcome> {
     let mut link = link(pool, member).await?;
     *progress.reason.borrow_mut() = Some(link.reason());
-    link.write(statement()).await?;
+    let (head, tail) = statement();
+    link.write(head, tail).await?;
     progress.written.set(true);
     written();
     let reply = link.read().await;
+    if reply.passing {
+        return Ok((reply, Some(link)));
+    }
     if reply.reusable {
         pool.give(member, link);
     }
-    Ok(reply)
+    Ok((reply, None))
 }
 
 /// Runs an attempt until it is answered, called off or out of time. Its connection is closed, or back in the
@@ -94,15 +102,22 @@
     let progress = Progress::default();
     let statement = || {
         let left = until.saturating_duration_since(Instant::now());
-        payload.render((left.as_millis() as u64).max(1))
+        payload.pieces((left.as_millis() as u64).max(1))
     };
     let work = exchange(&pool, member, statement, &progress, written);
     tokio::pin!(work);
     tokio::select! {
         biased;
         done = &mut work => match done {
-            Ok(Reply { outcome, raw, position, role, report, .. }) => {
-                let value = (outcome == Outcome::Ok).then_some(raw);
+            Ok((Reply { outcome, raw, position, role, report, .. }, link)) => {
+                let value = (outcome == Outcome::Ok).then(|| match link {
+                    None => Value::Whole(raw),
+                    Some(link) => {
+                        let (give, rest) = mpsc::channel(WINDOW);
+                        tokio::task::spawn_local(pass(pool.clone(), member, link, give));
+                        Value::Passing(Flow { first: raw, rest })
+                    }
+                });
                 Ending { outcome, value, position, role, report }
             }
             Err(outcome) => Ending::of(outcome),
@@ -119,15 +134,36 @@
     }
 }
 
+/// Passes the rest of a long answer on as it comes and as it is taken. The request has its answer already: what
+/// breaks here is for the client to see.
+async fn pass(pool: Pool, member: MemberId, mut link: Link, give: mpsc::Sender<Passed>) {
+    loop {
+        let passed = match link.rest().await {
+            Rest::Part(part) => Passed::Part(part),
+            Rest::Whole(end) => Passed::Whole(end),
+            Rest::Ready => return pool.give(member, link),
+            Rest::Broken => return,
+        };
+        let whole = matches!(passed, Passed::Whole(_));
+        if give.send(passed).await.is_err() && !whole {
+            link.reason().set(CloseReason::Cancelled);
+            return;
+        }
+    }
+}
+
 /// Asks a member for its report.
 pub async fn probe(pool: Pool, member: MemberId) -> (Outcome, LoadReport) {
     let progress = Progress::default();
-    let work = exchange(&pool, member, || Bytes::from_static(b"SHOW health"), &progress, || ());
+    let work =
+        exchange(&pool, member, || (Bytes::from_static(b"SHOW health"), Bytes::new()), &progress, || ());
     let Ok(done) = tokio::time::timeout(pool.connect_timeout(), work).await else {
         return (Outcome::TimedOut, LoadReport::default());
     };
     match done {
-        Ok(Reply { outcome, column, report: told, .. }) => {
+        // No report is that long.
+        Ok((Reply { passing: true, .. }, _)) => (Outcome::Garbled, LoadReport::default()),
+        Ok((Reply { outcome, column, report: told, .. }, _)) => {
             let column = column.and_then(|c| String::from_utf8(c.to_vec()).ok());
             (outcome, column.map_or(told, |text| report::parse(&text)))
         }
--- a/src/members/link.rs
+++ b/src/members/link.rs
@@ -12,12 +12,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
 /// An answer that has begun says more within this long, or its rest will never come.
 const ANSWER_GAP: Duration = Duration::from_millis(250);
+/// Of a long answer that is passed on, more comes within this long, or nothing more will: peers take seconds.
+const PART_WITHIN: Duration = Duration::from_secs(10);
 /// A buffer that grew past this is given back after the answer.
 const BUFFER_KEPT: usize = 32 * 1024;
 
@@ -51,6 +54,20 @@
     pub report: LoadReport,
     /// The connection can carry the next statement.
     pub reusable: bool,
+    /// Only the beginning is there: the rest is to be passed on.
+    pub passing: bool,
+}
+
+/// What comes of the rest of a long answer.
+pub enum Rest {
+    /// More of it.
+    Part(Bytes),
+    /// Its end, as it came.
+    Whole(Bytes),
+    /// The connection can carry the next statement.
+    Ready,
+    /// Nothing more comes.
+    Broken,
 }
 
 /// How far an answer has come.
@@ -103,7 +120,8 @@
         };
         let _ = stream.set_nodelay(true);
         let reason = Rc::new(Cell::new(CloseReason::ConnectTimeout));
-        let mut link = Link { framed: Framed::new(stream, BackendCodec), addr, reason, _place: place };
+        let mut link =
+            Link { framed: Framed::new(stream, BackendCodec::default()), addr, reason, _place: place };
         match timeout_at(by, link.greet()).await {
             Ok(Ok(())) => {
                 link.reason.set(CloseReason::Cancelled);
@@ -157,14 +175,49 @@
     }
 
     /// Writes a statement whole; it has not run if this fails.
-    pub async fn write(&mut self, statement: Bytes) -> Result<(), Outcome> {
-        let sent = self.framed.send(Command::Query(statement)).await;
+    pub async fn write(&mut self, head: Bytes, tail: Bytes) -> Result<(), Outcome> {
+        let sent = if tail.is_empty() {
+            self.framed.send(Command::Query(head)).await
+        } else {
+            self.write_long(&head, &tail).await
+        };
         sent.map_err(|_| {
             self.reason.set(CloseReason::Reset);
             Outcome::ConnectError
         })
     }
 
+    /// A long statement goes past the codec's buffer, which would copy it.
+    async fn write_long(&mut self, head: &[u8], tail: &[u8]) -> Result<(), PgError> {
+        let length = (4 + head.len() + tail.len() + 1) as u32;
+        let stream = self.framed.get_mut();
+        stream.write_all(&[b"Q", &length.to_be_bytes()[..], head].concat()).await?;
+        stream.write_all(tail).await?;
+        Ok(stream.write_all(&[0]).await?)
+    }
+
+    /// The rest of a long answer, as it comes.
+    pub async fn rest(&mut self) -> Rest {
+        loop {
+            let problem = match timeout(PART_WITHIN, self.framed.next()).await {
+                Ok(Some(Ok(Backend::Part(part)))) => return Rest::Part(part),
+                Ok(Some(Ok(Backend::Complete(end)))) => return Rest::Whole(end),
+                Ok(Some(Ok(Backend::Ready))) => match self.unfit() {
+                    None => return Rest::Ready,
+                    Some(reason) => reason,
+                },
+                Ok(Some(Ok(Backend::Parameter { .. } | Backend::Other))) => continue,
+                Ok(Some(Ok(_)) | Some(Err(PgError::Length(_) | PgError::Kind(_) | PgError::Body(_)))) => {
+                    CloseReason::Protocol
+                }
+                Ok(_) => CloseReason::Reset,
+                Err(_) => CloseReason::TimedOut,
+            };
+            self.reason.set(problem);
+            return Rest::Broken;
+        }
+    }
+
     /// The next message of an answer. It may take any time to begin, but not to go on once it has begun.
     async fn next(&mut self, begun: bool) -> Option<Result<Backend, PgError>> {
         let mut there = self.framed.read_buffer().len();
@@ -191,6 +244,7 @@
             role: None,
             report: LoadReport::default(),
             reusable: false,
+            passing: false,
         };
         let mut stage = Stage::Begin;
         let broken = loop {
@@ -205,6 +259,11 @@
                     reply.column = Some(value);
                     raw.extend_from_slice(&part);
                 }
+                (Stage::Described, Some(Ok(Backend::RowBegins(part)))) => {
+                    raw.extend_from_slice(&part);
+                    (reply.outcome, reply.raw, reply.passing) = (Outcome::Ok, raw.freeze(), true);
+                    return reply;
+                }
                 (Stage::Rowed, Some(Ok(Backend::Complete(part)))) => {
                     stage = Stage::Over(Outcome::Ok);
                     raw.extend_from_slice(&part);
--- a/src/pg/backend.rs
+++ b/src/pg/backend.rs
@@ -1,7 +1,7 @@
 //! The member-facing side: what members answer, decoded, and what they are sent, encoded.
 
 use super::frontend::{message, put_text};
-use super::{PgError, VALUE_MOST, header, take, text};
+use super::{PASSED_ABOVE, PgError, VALUE_MOST, header, take, text};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -26,6 +26,10 @@
         /// The column.
         value: Bytes,
     },
+    /// The head of a DataRow of one long column; its value follows in parts.
+    RowBegins(Bytes),
+    /// A part of the long value.
+    Part(Bytes),
     /// CommandComplete, whole.
     Complete(Bytes),
     /// An error, by its SQLSTATE.
@@ -49,7 +53,15 @@
 
 /// The codec.
 #[derive(Default)]
-pub struct BackendCodec;
+pub struct BackendCodec {
+    /// What is still to come of a long value.
+    left: usize,
+}
+
+/// A DataRow's bytes before the value of its one column: type, length, count, the column's length.
+const ROW_HEAD: usize = 11;
+/// The largest part of a long value at a time.
+const PART_MOST: usize = 16 * 1024;
 
 /// A short text and what stands round it: notices, parameters, errors.
 const TEXT_MOST: usize = 8 * 1024;
@@ -125,7 +137,26 @@
     type Error = PgError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Backend>, PgError> {
+        if self.left > 0 {
+            if src.is_empty() {
+                return Ok(None);
+            }
+            let part = src.split_to(src.len().min(self.left).min(PART_MOST)).freeze();
+            self.left -= part.len();
+            return Ok(Some(Backend::Part(part)));
+        }
         let Some((kind, length)) = header(src, bounds)? else { return Ok(None) };
+        if kind == b'D' && length > ROW_HEAD - 1 + PASSED_ABOVE {
+            if src.len() < ROW_HEAD {
+                return Ok(None);
+            }
+            let (value, row) = (length + 1 - ROW_HEAD, src.split_to(ROW_HEAD).freeze());
+            if row[5..7] != [0, 1] || row[7..] != (value as u32).to_be_bytes() {
+                return Err(PgError::Body("a row of other than one column that fills it"));
+            }
+            self.left = value;
+            return Ok(Some(Backend::RowBegins(row)));
+        }
         let Some(raw) = take(src, length) else { return Ok(None) };
         let body = raw.slice(5..);
         Ok(Some(match kind {
--- a/src/pg/frontend.rs
+++ b/src/pg/frontend.rs
@@ -1,8 +1,9 @@
 //! The client-facing side: what clients send, decoded, and what they are answered, encoded.
 
-use super::{MESSAGE_MOST, PgError, header, take, text};
+use super::{LONG_MOST, MESSAGE_MOST, PgError, header, take, text};
 use crate::budget::{Budget, Place};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio_util::codec::{Decoder, Encoder};
 
 /// The largest startup packet taken, as in PostgreSQL.
@@ -20,6 +21,8 @@
     Cancel,
     /// Opens the session.
     Startup,
+    /// A long query of this length has begun: it is read once memory for it is granted.
+    Announced(usize),
     /// A simple query's statement.
     Query(Bytes),
     /// A message of the extended protocol, by its type.
@@ -65,6 +68,10 @@
     /// Memory for the message that is coming in, and for the one returned last.
     coming: Option<Place>,
     returned: Option<Place>,
+    /// The same for a long message; whether one was announced.
+    long: Option<OwnedSemaphorePermit>,
+    long_returned: Option<OwnedSemaphorePermit>,
+    announced: bool,
 }
 
 impl Default for FrontendCodec {
@@ -76,19 +83,43 @@
 impl FrontendCodec {
     /// A codec whose messages share `memory`, in bytes, with those of others.
     pub fn new(memory: Budget) -> FrontendCodec {
-        FrontendCodec { started: false, memory, coming: None, returned: None }
+        FrontendCodec {
+            started: false,
+            memory,
+            coming: None,
+            returned: None,
+            long: None,
+            long_returned: None,
+            announced: false,
+        }
     }
 
     /// The memory of the message returned last, to be kept as long as the message.
     pub fn share(&mut self) -> Option<Place> {
         self.returned.take()
     }
+
+    /// Grants the memory for the long message that was announced.
+    pub fn grant(&mut self, memory: OwnedSemaphorePermit) {
+        (self.long, self.announced) = (Some(memory), false);
+    }
+
+    /// The memory of the long message returned last, to be kept as long as the message.
+    pub fn share_long(&mut self) -> Option<OwnedSemaphorePermit> {
+        self.long_returned.take()
+    }
+
+    /// Whether a long message is coming in.
+    pub fn reads_long(&self) -> bool {
+        self.long.is_some()
+    }
 }
 
 /// The least and most length of what clients send.
 fn bounds(kind: u8) -> Option<(usize, usize)> {
     match kind {
-        b'Q' | b'P' | b'B' | b'D' | b'E' | b'C' | b'F' | b'd' | b'f' => Some((4, MESSAGE_MOST)),
+        b'Q' => Some((4, LONG_MOST)),
+        b'P' | b'B' | b'D' | b'E' | b'C' | b'F' | b'd' | b'f' => Some((4, MESSAGE_MOST)),
         b'X' | b'S' | b'H' | b'c' => Some((4, 4)),
         _ => None,
     }
@@ -103,11 +134,24 @@
             return self.startup(src);
         }
         let Some((kind, length)) = header(src, bounds)? else { return Ok(None) };
-        if self.coming.is_none() {
+        let long = length > MESSAGE_MOST;
+        if long && self.long.is_none() {
+            let first = !std::mem::replace(&mut self.announced, true);
+            return Ok(first.then_some(Frontend::Announced(length)));
+        }
+        if !long && self.coming.is_none() {
             self.coming = Some(self.memory.enter_by(length).ok_or(PgError::Memory(length))?);
         }
-        let Some(mut body) = take(src, length) else { return Ok(None) };
-        self.returned = self.coming.take();
+        let Some(mut body) = take(src, length) else {
+            // Exactly what was granted: doubling would take twice that.
+            src.reserve(if long { (1 + length).saturating_sub(src.len()) } else { 0 });
+            return Ok(None);
+        };
+        if long {
+            // What remains must not keep the message's memory.
+            *src = BytesMut::from(&src[..]);
+        }
+        (self.returned, self.long_returned) = (self.coming.take(), self.long.take());
         body.advance(5);
         Ok(Some(match kind {
             b'Q' => {
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -9,9 +9,13 @@
 use std::io;
 
 /// The largest value, in bytes.
-pub const VALUE_MOST: usize = 64 * 1024;
-/// The largest message taken from a client: a value written in hexadecimal, and room for the statement round it.
+pub const VALUE_MOST: usize = 4 << 20;
+/// Of a longer value the first bytes count, and the rest is passed on as it comes.
+pub const PASSED_ABOVE: usize = 64 * 1024;
+/// The largest message taken from a client without being announced: a value of 64 KiB in hexadecimal, and its statement.
 pub const MESSAGE_MOST: usize = 192 * 1024;
+/// The largest message taken at all: the largest value in hexadecimal, and its statement.
+pub const LONG_MOST: usize = 2 * VALUE_MOST + 64 * 1024;
 
 /// What is wrong with the bytes that a peer sent.
 #[derive(Debug)]
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -47,6 +47,8 @@
 const LEAVING: usize = 6;
 /// Of the memory, the part for what clients have sent and was not answered yet.
 const MESSAGES_PART: usize = 4;
+/// Of the memory, the part for long messages: at the least limit of 32 MB, one of the longest.
+const LONG_PART: f64 = 0.4;
 /// What was taken ends by its deadline, which counts from its last byte, and a newcomer's or a slow client's comes late.
 /// The program ends once all is answered, and this long after the longest deadline at the latest: what the platform's
 /// SIGKILL finds before is not lost, while what an early end breaks is.
@@ -108,7 +110,8 @@
     };
     let doorway = Doorway::new(bounds, clock);
     let intake = Intake::new(&site, clock);
-    let admit = Admit::new(site.max_open, config.memory / MESSAGES_PART);
+    let admit =
+        Admit::new(site.max_open, config.memory / MESSAGES_PART, (config.memory as f64 * LONG_PART) as usize);
     let desk = Rc::new(Desk::new(intake, admit, book.clone(), inbox.clone()));
     let subscribe = Rc::new(Notify::new());
     let version = known.as_ref().map_or(0, |k| k.version);
--- a/src/request.rs
+++ b/src/request.rs
@@ -3,6 +3,9 @@
 use bytes::Bytes;
 use std::ops::Range;
 
+/// From this length on a request is not copied for an attempt.
+const LONG: usize = 64 * 1024;
+
 /// A request as it will be passed on, cut open where the time left is written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Payload {
@@ -16,6 +19,14 @@
         Payload { head: whole.slice(..left.start), tail: whole.slice(left.end..) }
     }
 
+    /// The request with this many milliseconds left, in two pieces where it is long: nothing long is copied.
+    pub fn pieces(&self, left_ms: u64) -> (Bytes, Bytes) {
+        if self.tail.len() <= LONG {
+            return (self.render(left_ms), Bytes::new());
+        }
+        ([&self.head[..], left_ms.to_string().as_bytes()].concat().into(), self.tail.clone())
+    }
+
     /// The request with this many milliseconds left.
     pub fn render(&self, left_ms: u64) -> Bytes {
         [&self.head[..], left_ms.to_string().as_bytes(), &self.tail[..]].concat().into()
--- a/src/stages/admit.rs
+++ b/src/stages/admit.rs
@@ -1,6 +1,8 @@
 //! Admits a request or refuses it before the decisions see it, by what this process may hold.
 
 use crate::budget::{Budget, Place};
+use std::sync::Arc;
+use tokio::sync::Semaphore;
 
 /// What ran short where a request was refused before the decisions saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,12 +19,23 @@
 pub struct Admit {
     held: Budget,
     memory: Budget,
+    long: Arc<Semaphore>,
+    long_most: usize,
 }
 
 impl Admit {
-    /// Admits so many requests at a time, whose messages share so many bytes with what is still coming in.
-    pub fn new(requests: usize, bytes: usize) -> Admit {
-        Admit { held: Budget::new(requests), memory: Budget::new(bytes) }
+    /// Admits so many requests at a time, whose messages share so many bytes with what is still coming in, and so
+    /// many more for long messages.
+    pub fn new(requests: usize, bytes: usize, long_most: usize) -> Admit {
+        let long_most = long_most.min(u32::MAX as usize >> 3);
+        let long = Arc::new(Semaphore::new(long_most));
+        Admit { held: Budget::new(requests), memory: Budget::new(bytes), long, long_most }
+    }
+
+    /// The memory for long messages, granted in the order of asking; none for what could never be granted.
+    pub fn long(&self, length: usize) -> Option<(Arc<Semaphore>, u32)> {
+        let bytes = u32::try_from(length).ok().filter(|_| length <= self.long_most)?;
+        Some((self.long.clone(), bytes))
     }
 
     /// A place for a request until its answer, or why there is none.
--- a/src/stages/book.rs
+++ b/src/stages/book.rs
@@ -71,7 +71,7 @@
 
     fn answered(&self, class: ClassId, answer: &Answer) {
         let (count, end) = match answer {
-            Answer::Served(_) => (&self.0.served, End::Completed),
+            Answer::Served(_) | Answer::Passing(_) => (&self.0.served, End::Completed),
             Answer::Refused { .. } => (&self.0.refused, End::Rejected),
             Answer::Failed => (&self.0.failed, End::Failed),
         };
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -12,12 +12,41 @@
 use crate::discovery::list::News;
 use crate::request::Payload;
 use bytes::Bytes;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+/// A long answer whose first bytes are there.
+#[derive(Debug)]
+pub struct Flow {
+    /// What came first, in the protocol's own form.
+    pub first: Bytes,
+    /// The rest as it comes, within a bounded window. It ends without [`Passed::Whole`] if it was cut off.
+    pub rest: mpsc::Receiver<Passed>,
+}
+
+/// What passes of a long answer.
+#[derive(Debug)]
+pub enum Passed {
+    /// More of it.
+    Part(Bytes),
+    /// Its end: it is whole.
+    Whole(Bytes),
+}
+
+/// What a member gave.
+#[derive(Debug)]
+pub enum Value {
+    /// The whole answer.
+    Whole(Bytes),
+    /// A long one, on its way.
+    Passing(Flow),
+}
+
 /// The one final answer of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Answer {
+    /// Served with a long answer, which is on its way: it may yet be cut off.
+    Passing(Flow),
     /// Served: the answer as a member gave it, in the protocol's own form.
     Served(Bytes),
     /// Refused: a retry does no harm.
@@ -48,7 +77,7 @@
     /// The client of a request has left.
     Gone(RequestId),
     /// An attempt ended; `closed` is filled in by the driver.
-    Ended(Ended, Option<Bytes>),
+    Ended(Ended, Option<Value>),
     /// A probe ended.
     Probed(MemberId, Outcome, LoadReport),
     /// News of the list.
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -3,7 +3,7 @@
 
 use super::relay::Relay;
 use super::send::Sender;
-use super::{Answer, Input, Taken};
+use super::{Answer, Input, Taken, Value};
 use crate::api::{Action, Event, ListEntry, ListUpdate, MemberId, MemberState, Outcome, RequestId, Time};
 use crate::clock::Clock;
 use crate::discovery::list::{Listing, Names, News, Server};
@@ -112,8 +112,12 @@
             }
             Input::Ended(mut end, value) => {
                 self.sender.ended(end.id, end.attempt);
-                if let (Outcome::Ok, Some(value)) = (end.outcome, value)
-                    && self.relay.answer(&end.id, Answer::Served(value))
+                let answer = value.map(|value| match value {
+                    Value::Whole(raw) => Answer::Served(raw),
+                    Value::Passing(flow) => Answer::Passing(flow),
+                });
+                if let (Outcome::Ok, Some(answer)) = (end.outcome, answer)
+                    && self.relay.answer(&end.id, answer)
                 {
                     self.sender.over(end.id);
                 }
--- a/src/stages/send.rs
+++ b/src/stages/send.rs
@@ -6,7 +6,6 @@
 use crate::members::attempt::{self, Ending, Errand};
 use crate::members::pool::Pool;
 use crate::request::Payload;
-use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -122,5 +121,5 @@
     let latency = Span(started.elapsed().as_micros() as u64);
     let closed = false;
     let end = Ended { id, attempt, member, outcome, latency, closed, position, role, report };
-    Input::Ended(end, value as Option<Bytes>)
+    Input::Ended(end, value)
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -36,6 +36,63 @@
     });
 }
 
+// Guards against long values that are changed, gathered in memory or lost on their way, in either direction; with 12 MB
+// for long messages three of 6 MB must wait for each other.
+#[test]
+fn long_values_pass_both_ways_whole() {
+    let long: String = (0..3_000_000u32).map(|n| char::from(b'a' + (n % 23) as u8)).collect();
+    let (value, sent) = (long.clone(), Rc::new(RefCell::new(Vec::new())));
+    let noted = sent.clone();
+    let act = move |member: usize, statement: String| {
+        let write = statement.contains("INSERT");
+        if write && member == 0 {
+            noted.borrow_mut().push(statement);
+        }
+        let row = if write { "written".into() } else { value.clone() };
+        std::future::ready(if write && member > 0 { Act::Error("25006") } else { Act::Row(row) })
+    };
+    let config = CONFIG.replace("\"memory_mb\": 192", "\"memory_mb\": 32");
+    play_with("long", &config, act, |at, _program| async move {
+        let write =
+            |n: usize| WRITE.replace("id=a2", &format!("id=w{n}")).replace("'x'", &format!("'{long}{long}'"));
+        let statements: Vec<String> = (0..3).map(write).collect();
+        let ask = |n: usize| {
+            let (statement, long) = (statements[n].clone(), long.clone());
+            async move {
+                let read = READ.replace("id=a1", &format!("id=r{n}"));
+                let mut c = client(at, &[&read, &statement]).await;
+                let whole = answer(&mut c).await;
+                assert!(whole.contains(&long) && whole.contains("SELECT 1"), "{}", whole.len());
+                assert!(answer(&mut c).await.contains("written"));
+            }
+        };
+        tokio::join!(ask(0), ask(1), ask(2));
+        let mut sent = sent.borrow().clone();
+        let cut = |s: &str| s.split_once(",k=").map(|(_, tail)| tail.to_string());
+        sent.sort();
+        assert_eq!(sent.len(), 3);
+        assert!(sent.iter().zip(&statements).all(|(s, w)| cut(s) == cut(w)), "only d is written anew");
+    });
+}
+
+// Guards against a value that breaks off and looks whole, and against a second attempt after the first byte passed.
+#[test]
+fn a_long_value_that_breaks_off_ends_the_connection_and_is_not_asked_for_again() {
+    let asked = Rc::new(RefCell::new(0));
+    let count = asked.clone();
+    let act = move |_, _| {
+        *count.borrow_mut() += 1;
+        std::future::ready(Act::Torn("v".repeat(1_000_000)))
+    };
+    play("torn", act, |at, program| async move {
+        let mut c = client(at, &[READ]).await;
+        let got = answer(&mut c).await;
+        assert!(got.contains("vvvv") && got.len() < 1_000_000 && !got.contains("SELECT 1"), "{}", got.len());
+        program.says("code=cut-off").await;
+        assert_eq!(*asked.borrow(), 1);
+    });
+}
+
 // Guards against a refusal that doesn't say when to come back, and against failures dressed as refusals.
 #[test]
 fn the_turned_away_is_refused_with_d_and_the_unknown_has_failed() {
