Words that two versions write at once are not lost; a group that is out whole answers at once

Found by reading the change again. A word was lost if two versions wrote at once and as many were left, if a new text was as long and as old as the one seen, or if the file was torn; words with long ids could outgrow their file (1,024 are kept now). A group whose members are all out held its requests for half their time: they are refused at once, to come back in a second. A long answer holds a member's connection for a minute at most. Allow names the one method.

--- a/crates/decisions/src/maintenance.rs
+++ b/crates/decisions/src/maintenance.rs
@@ -1,11 +1,13 @@
 //! Members taken out by hand: operators' words on members, and how a listed member is shown to the policy because of
 //! them. Pure records; the newest word on a member counts, so that two processes that exchange theirs agree.
 
-use crate::api::{MemberState, Time};
+use crate::api::{GroupId, MemberState, Time};
 use std::collections::BTreeMap;
 
-/// So many members are known and so many words kept; far more than any list holds.
-const MOST: usize = 4_096;
+/// So many members are known; far more than any list holds.
+const KNOWN_MOST: usize = 4_096;
+/// So many words are kept: with the longest ids that a call may name they fit into the file that versions share.
+const WORDS_MOST: usize = 1_024;
 /// A member stays known for so long after a list last named it: it vanishes while it restarts. In microseconds.
 const KNOWN_FOR: u64 = 600_000_000;
 
@@ -40,6 +42,7 @@
 struct Known {
     seen: Time,
     listed: bool,
+    group: GroupId,
 }
 
 /// The words, and who is known.
@@ -51,17 +54,19 @@
 
 impl Maintenance {
     /// A list names a member; says how it is shown.
-    pub fn listed(&mut self, now: Time, id: &str, state: MemberState, started: Option<Time>) -> Shown {
+    pub fn listed(
+        &mut self, now: Time, id: &str, group: GroupId, state: MemberState, started: Option<Time>,
+    ) -> Shown {
         let listed = state != MemberState::Gone;
         match self.known.get_mut(id) {
-            Some(known) => *known = Known { seen: now, listed },
+            Some(known) => *known = Known { seen: now, listed, group },
             None => {
-                if self.known.len() >= MOST {
+                if self.known.len() >= KNOWN_MOST {
                     let oldest = self.known.iter().min_by_key(|(_, known)| (known.listed, known.seen));
                     let oldest = oldest.map(|(id, _)| id.clone());
                     oldest.and_then(|id| self.known.remove(&id));
                 }
-                self.known.insert(id.to_string(), Known { seen: now, listed });
+                self.known.insert(id.to_string(), Known { seen: now, listed, group });
             }
         }
         self.shown(id, started)
@@ -70,7 +75,7 @@
     /// A whole list begins: whoever it does not name is not listed any more.
     pub fn whole_list(&mut self, now: Time) {
         for known in self.known.values_mut().filter(|known| known.listed) {
-            *known = Known { seen: now, listed: false };
+            (known.seen, known.listed) = (now, false);
         }
         let words = &self.words;
         let out = |id: &String| words.get(id).is_some_and(|word| word.out);
@@ -107,12 +112,12 @@
 
     /// Room for one more word, made if need be by dropping the oldest on somebody who is back.
     fn room(&mut self) -> bool {
-        if self.words.len() >= MOST {
+        if self.words.len() >= WORDS_MOST {
             let back = self.words.iter().filter(|(_, word)| !word.out).min_by_key(|(_, word)| word.at);
             let back = back.map(|(id, _)| id.clone());
             back.and_then(|id| self.words.remove(&id));
         }
-        self.words.len() < MOST
+        self.words.len() < WORDS_MOST
     }
 
     /// Another process of this proxy has said so; whether that changes how the member is shown.
@@ -135,6 +140,16 @@
         self.words.get(id).is_some_and(|word| word.out)
     }
 
+    /// Whether operators have taken out all that a group has: nothing can be served there before one of their calls.
+    pub fn closed(&self, group: GroupId) -> bool {
+        if !self.words.values().any(|word| word.out) {
+            return false;
+        }
+        let mut listed =
+            self.known.iter().filter(|(_, known)| known.listed && known.group == group).peekable();
+        listed.peek().is_some() && listed.all(|(id, _)| self.is_out(id))
+    }
+
     /// Listed members, and those of them that are out by hand.
     pub fn count(&self) -> (usize, usize) {
         let listed = self.known.iter().filter(|(_, known)| known.listed);
--- a/crates/decisions/tests/maintenance.rs
+++ b/crates/decisions/tests/maintenance.rs
@@ -1,10 +1,11 @@
 //! Any order of operators' words and lists, told to two processes that exchange their words.
 
-use linenhill_decisions::api::{MemberState, Time};
+use linenhill_decisions::api::{GroupId, MemberState, Time};
 use linenhill_decisions::maintenance::{Maintenance, Shown, Unheard};
 use quickcheck::{Arbitrary, Gen};
 use std::collections::BTreeMap;
 
+const GROUP: GroupId = GroupId(1);
 const IDS: [&str; 4] = ["a", "b", "c", "nobody"];
 
 fn exchange(from: &Maintenance, to: &mut Maintenance) {
@@ -21,7 +22,7 @@
         let mut expected: BTreeMap<&str, (bool, u64)> = BTreeMap::new();
         let mut now = 1_000_000;
         for m in &mut both {
-            IDS[..3].iter().for_each(|id| _ = m.listed(Time(now), id, MemberState::InService, None));
+            IDS[..3].iter().for_each(|id| _ = m.listed(Time(now), id, GROUP, MemberState::InService, None));
         }
         for _ in 0..30 {
             now += 1 + u64::from(u16::arbitrary(&mut g));
@@ -44,7 +45,7 @@
                 _ => {
                     let state = *g.choose(&[MemberState::InService, MemberState::Gone]).expect("one");
                     if id != "nobody" {
-                        both[one].listed(Time(now), id, state, Some(Time(5)));
+                        both[one].listed(Time(now), id, GROUP, state, Some(Time(5)));
                     }
                 }
             }
@@ -57,7 +58,10 @@
                     Some((true, _)) => Shown::Out,
                     Some((false, at)) => Shown::Listed(Some(Time(*at))),
                 };
-                assert_eq!(both[m].listed(Time(now), id, MemberState::InService, Some(Time(5))), wanted);
+                assert_eq!(
+                    both[m].listed(Time(now), id, GROUP, MemberState::InService, Some(Time(5))),
+                    wanted
+                );
             }
         }
     }
@@ -70,13 +74,34 @@
     let mut turned = 0;
     for n in 0..9_000u64 {
         let id = format!("m{n}");
-        m.listed(Time(n), &id, MemberState::InService, None);
+        m.listed(Time(n), &id, GROUP, MemberState::InService, None);
         turned += u64::from(m.say(Time(n), &id, n % 2 == 0) == Err(Unheard::Full));
     }
-    assert!(m.words().count() <= 4_096 && m.count().0 <= 4_096);
+    assert!(m.words().count() <= 1_024 && m.count().0 <= 4_096);
     assert!(turned > 0, "a bound refuses, it drops no ban");
     let hours = Time(10_000_000_000);
     m.whole_list(hours);
     assert_eq!(m.say(hours, "m0", false), Ok(true), "its way back is open");
     assert_eq!(m.say(hours, "m1", true), Err(Unheard::Unknown));
 }
+
+// Guards against requests that wait for a group which operators have taken out whole, and against refusing those of a
+// group with one member left, or with none listed.
+#[test]
+fn a_group_is_closed_once_all_that_is_listed_of_it_is_out() {
+    let mut m = Maintenance::default();
+    let now = Time(1_000_000);
+    for (id, group) in [("a", 1), ("b", 1), ("c", 2)] {
+        m.listed(now, id, GroupId(group), MemberState::InService, None);
+    }
+    let closed = |m: &Maintenance| [1, 2, 3].map(|group| m.closed(GroupId(group)));
+    assert_eq!(m.say(now, "a", true), Ok(true));
+    assert_eq!(closed(&m), [false; 3]);
+    assert_eq!(m.say(now, "b", true), Ok(true));
+    assert_eq!(closed(&m), [true, false, false]);
+    m.listed(now, "d", GroupId(1), MemberState::InService, None);
+    assert_eq!(closed(&m), [false; 3]);
+    m.listed(now, "d", GroupId(1), MemberState::Gone, None);
+    assert_eq!(m.say(now, "b", false), Ok(true));
+    assert_eq!(closed(&m), [false; 3]);
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -177,17 +177,19 @@
         () = make_room.notified() => return CloseReason::MadeRoom,
     };
     whole();
+    let mut allow = String::new();
     let (answer, reason) = match came {
         Ok(Some(Ok(call))) => (controls.answer(call).await, CloseReason::Answered),
         Ok(None) => return CloseReason::PeerClosed,
         Ok(Some(Err(CallError::Io(_)))) => return CloseReason::Io,
-        Ok(Some(Err(problem))) => (said(problem.status(), problem.to_string()), CloseReason::Protocol),
+        Ok(Some(Err(problem))) => {
+            if let CallError::Method(allowed) = problem {
+                allow = format!("Allow: {allowed}\r\n");
+            }
+            (said(problem.status(), problem.to_string()), CloseReason::Protocol)
+        }
         Err(_) => (said(408, "the call did not come whole"), CloseReason::TimedOut),
     };
-    let allow = match answer.status {
-        405 => "Allow: GET, POST\r\n",
-        _ => "",
-    };
     let Answer { status, kind, text } = answer;
     let (phrase, length) = (phrase(status), text.len());
     let whole = format!(
--- a/src/members/attempt.rs
+++ b/src/members/attempt.rs
@@ -10,12 +10,16 @@
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Parts of a long answer that may wait for the client to take them.
 const WINDOW: usize = 4;
 
+/// A long answer has passed by then, however slowly it is given or taken: its connection is not held for ever.
+const PASSED_WITHIN: Duration = Duration::from_secs(60);
+
 /// What is to be done.
 pub struct Errand {
     /// Where.
@@ -137,6 +141,7 @@
 /// Passes the rest of a long answer on as it comes and as it is taken. The request has its answer already: what
 /// breaks here is for the client to see.
 async fn pass(pool: Pool, member: MemberId, mut link: Link, give: mpsc::Sender<Passed>) {
+    let by = Instant::now() + PASSED_WITHIN;
     loop {
         let passed = match link.rest().await {
             Rest::Part(part) => Passed::Part(part),
@@ -145,8 +150,10 @@
             Rest::Broken => return,
         };
         let whole = matches!(passed, Passed::Whole(_));
-        if give.send(passed).await.is_err() && !whole {
-            link.reason().set(CloseReason::Cancelled);
+        let given = timeout_at(by, give.send(passed)).await;
+        let late = given.is_err() || Instant::now() >= by;
+        if (late || !matches!(given, Ok(Ok(())))) && !whole {
+            link.reason().set(if late { CloseReason::TimedOut } else { CloseReason::Cancelled });
             return;
         }
     }
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -4,7 +4,9 @@
 use super::relay::Relay;
 use super::send::Sender;
 use super::{Answer, Input, Taken, Value};
-use crate::api::{Action, Event, ListEntry, ListUpdate, MemberId, MemberState, Outcome, RequestId, Time};
+use crate::api::{
+    Action, Event, ListEntry, ListUpdate, MemberId, MemberState, Outcome, RequestId, Span, Time,
+};
 use crate::clock::Clock;
 use crate::discovery::list::{Listing, Names, News, Server};
 use crate::maintenance::{Maintenance, Shown};
@@ -22,6 +24,9 @@
 /// Past its deadline by this much, a request is answered whatever the decisions say.
 const OVERDUE: Duration = Duration::from_millis(40);
 
+/// Advice to clients of a group that operators have taken out whole.
+const COME_BACK: Span = Span(1_000_000);
+
 /// The stage.
 pub struct Route {
     router: Router,
@@ -100,6 +105,10 @@
         match input {
             Input::Taken(taken) => {
                 let Taken { request, payload, deadline, reply } = *taken;
+                if self.maintenance.borrow().closed(request.group) {
+                    let _ = reply.send(Answer::Refused { retry_after: Some(COME_BACK) });
+                    return;
+                }
                 self.relay.owe(request.id, reply, deadline + OVERDUE);
                 self.sender.keep(request.id, payload, deadline);
                 self.handle(Event::Request(request));
@@ -194,7 +203,7 @@
         }
         self.pool.locate(entry.member, addr);
         let now = self.clock.now();
-        match self.maintenance.borrow_mut().listed(now, &name, entry.state, entry.started) {
+        match self.maintenance.borrow_mut().listed(now, &name, entry.group, entry.state, entry.started) {
             Shown::Listed(started) => entries.push(ListEntry { started, ..entry }),
             Shown::Out => {
                 entries.push(ListEntry { state: MemberState::Draining, ..entry.clone() });
--- a/src/takeover/words.rs
+++ b/src/takeover/words.rs
@@ -1,7 +1,7 @@
 //! Operators' words on members, in this process and in a file that both versions of an upgrade share: a word told to
 //! either binds both, and those that come after.
 
-use super::saved;
+use super::saved::{self, SavedError};
 use crate::api::Time;
 use crate::clock::Clock;
 use crate::maintenance::{Maintenance, Unheard, Word};
@@ -10,6 +10,8 @@
 use log::{info, warn};
 use miniserde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::os::unix::fs::MetadataExt;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -30,7 +32,8 @@
 pub struct Words {
     maintenance: Rc<RefCell<Maintenance>>,
     file: Option<PathBuf>,
-    seen: Cell<Option<(SystemTime, u64)>>,
+    /// The file as it was last looked at: a new one each time it is written.
+    seen: Cell<Option<(u64, SystemTime, u64)>>,
     clock: Clock,
     inbox: mpsc::UnboundedSender<Input>,
 }
@@ -66,15 +69,20 @@
     }
 
     /// Takes in what another process has written since, and writes again what it did not know.
-    fn look(&self) {
+    pub fn look(&self) {
         let Some(file) = &self.file else { return };
-        let stamp = std::fs::metadata(file).ok().and_then(|m| Some((m.modified().ok()?, m.len())));
+        let stamp = std::fs::metadata(file).ok().and_then(|m| Some((m.ino(), m.modified().ok()?, m.len())));
         if stamp == self.seen.get() {
             return;
         }
         self.seen.set(stamp);
         let text = match saved::read(file) {
             Ok(text) => text,
+            // Half of a file is nobody's: what is known here takes its place.
+            Err(problem @ SavedError::Torn) => {
+                warn!("{}: not taken: {problem}", file.display());
+                None
+            }
             Err(problem) => return warn!("{}: not taken: {problem}", file.display()),
         };
         let told = text.map(|text| settings::parse::<Vec<WordDoc>>(&text));
@@ -82,15 +90,19 @@
             Ok(told) => told,
             Err(problem) => return warn!("{}: not taken: {problem}", file.display()),
         };
-        let count = told.len();
+        let mut written = BTreeMap::new();
         for doc in told {
             let word = Word { at: Time(doc.at_us), out: doc.out };
+            written.insert(doc.id.clone(), word);
             if self.maintenance.borrow_mut().hear(&doc.id, word) {
                 info!("maintenance: {} is {}", doc.id, if doc.out { "out" } else { "back" });
                 let _ = self.inbox.send(Input::Word(doc.id));
             }
         }
-        if self.maintenance.borrow().words().count() > count {
+        // Two that write at once overwrite each other's words: whoever misses one of its own writes again.
+        let newer = |(id, word): (&str, Word)| written.get(id).is_none_or(|written| *written < word);
+        let missing = self.maintenance.borrow().words().any(newer);
+        if missing {
             self.save();
         }
     }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -214,6 +214,16 @@
         while heard.borrow()[2] == before {
             ask().await;
         }
+        for id in ["m-1", "m-2", "m-3"] {
+            assert_eq!(
+                call(new.address("operators call at "), &format!("POST /maintenance/enter?name={id}"))
+                    .await
+                    .0,
+                200
+            );
+        }
+        let got = answer(&mut client(at, &[READ]).await).await;
+        assert!(got.contains("C53300\0") && got.contains("\0D1000\0"), "a group that is out whole: {got:?}");
         new.signal("-TERM");
         assert!(new.end().await.success());
     });
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use linenhill::api::{MemberId, Outcome, RequestId, Span, Time};
+use linenhill::api::{GroupId, MemberId, MemberState, Outcome, RequestId, Span, Time};
 use linenhill::budget::Budget;
 use linenhill::clients::desk::Desk;
 use linenhill::clients::doorway::{Doorway, Seated};
@@ -20,6 +20,7 @@
 use linenhill::door::Bounds;
 use linenhill::figures::Figures;
 use linenhill::lifecycle::View;
+use linenhill::maintenance::Maintenance;
 use linenhill::members::link::Link;
 use linenhill::members::pool::Pool;
 use linenhill::policy::Router;
@@ -30,6 +31,8 @@
 use linenhill::stages::route::Route;
 use linenhill::stages::send::Sender;
 use linenhill::stages::{Answer, Input};
+use linenhill::takeover::{saved, words::Words};
+use std::cell::RefCell;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -639,3 +642,37 @@
     );
     assert_eq!(follow(stream(&[new, anew])).await, (50, 1, CloseReason::Silent), "but not amid a watch");
 }
+
+// Guards against a word that is lost when two versions write at once, when the file is torn, or when its new text is as
+// long as the old; and against a foreign file that is written over.
+#[tokio::test]
+async fn words_outlast_what_others_write_over_them() {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-words", std::process::id()));
+    let _ = std::fs::remove_file(&file);
+    let (clock, (inbox, _events)) = (Clock::start(), mpsc::unbounded_channel());
+    let version = || {
+        let mut known = Maintenance::default();
+        for id in ["a", "b"] {
+            known.listed(clock.now(), id, GroupId(1), MemberState::InService, None);
+        }
+        Words::new(Rc::new(RefCell::new(known)), Some(file.clone()), clock, inbox.clone())
+    };
+    let text = || saved::read(&file).expect("a file").unwrap_or_default();
+    let one = version();
+    assert_eq!(one.say("a", true), Ok(true));
+    let stale = std::fs::read(&file).expect("the file");
+    assert_eq!(one.say("a", false), Ok(true));
+    let newest = text();
+    for over in [stale, saved::sealed(&newest).into_bytes()[..30].to_vec()] {
+        std::fs::write(&file, over).expect("written over");
+        one.look();
+        assert_eq!(text(), newest, "its own newest word is there again");
+    }
+    let two = version();
+    assert_eq!(two.say("b", true), Ok(true));
+    one.look();
+    assert_eq!(one.say("b", true), Ok(false), "told to the other one");
+    std::fs::write(&file, "something else\n").expect("written");
+    one.look();
+    assert_eq!(std::fs::read(&file).expect("the file"), b"something else\n");
+}
