Where lists are pushed the watch is kept open by the driver; before, it never was

At fault: Router::blank gives Asking no first call where discovery is Pushed, so Action::Subscribe is never pushed, and discovery::run only opens a watch when asked.

Change: decisions::watching opens the watch at the start, again at once when one ends, and an agent that is away is tried at gaps of 10 ms doubling to a quarter of rules.drainGrace, at most 250 ms. decisions::freshness tells how old the news is, as figures and log lines, in either mode. A list's role is read. What was decided before a drain and whose connection comes up after it is not sent (pool.admit).

Tests: the whole program before an agent that ends watches, goes away, moves (SIGHUP) and drains members; the pure machines over all graces; a statement whose member drains while its connection comes up.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -172,6 +172,8 @@
 pub struct Rules {
     /// On request discovery: silence longer than this counts as having been told.
     pub ask_within: Span,
+    /// Nothing new reaches a member later than this after it was told that it drains or is gone.
+    pub drain_grace: Span,
     /// A member starts with at least this share of its capacity.
     pub cold_from: f64,
     /// It is warm after this long at most.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,16 +1,19 @@
 //! Everything that decides: which member gets a request, when, what happens after failures ([`policy`]), which zones
 //! have gone silent ([`outage`]), how the ill are tried ([`recovery`]), who of the clients' connections is let in
-//! ([`door`]), and when discovery is asked ([`asking`]). State machines that are told what happened and when, and push
-//! what is to be done; no I/O, no clock, no async, nothing of linenhill's other packages.
+//! ([`door`]), when discovery is asked ([`asking`]) or watched ([`watching`]), and how old its news is ([`freshness`]).
+//! State machines that are told what happened and when, and push what is to be done; no I/O, no clock, no async,
+//! nothing of linenhill's other packages.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
 pub mod asking;
 pub mod door;
+pub mod freshness;
 pub mod lifecycle;
 pub mod maintenance;
 pub mod outage;
 pub mod policy;
 pub mod recovery;
 mod state;
+pub mod watching;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -131,6 +131,11 @@
         self.members.contains_key(&member)
     }
 
+    /// Whether anything new may reach a member: it neither drains nor is gone.
+    pub fn takes_new(&self, member: MemberId) -> bool {
+        self.members.get(&member).is_some_and(|m| m.state == MemberState::InService)
+    }
+
     /// Whether a member gets no ordinary work now: it drains, is gone, or is ill.
     pub fn avoids(&self, member: MemberId) -> bool {
         self.members.get(&member).is_none_or(|m| m.state != MemberState::InService || m.ill.is_some())
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -45,6 +45,7 @@
         prices: Prices { cross_zone: 0.01, probe: 0.01, peer: 0.01 },
         rules: Rules {
             ask_within: Span(10_000 * MS),
+            drain_grace: Span(250 * MS),
             cold_from: 0.2,
             cold: Span(10_000 * MS),
             fall_multiple: 3.0,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,10 @@
 /// Bytes of a word to peers: the member, then milliseconds x 2 + 1 if it is primary.
 pub const WORD_BYTES: usize = 10;
 
+/// Where `rules.drainGrace` is not given: the shortest grace of the sites that this was written for, since to stop too
+/// soon harms nobody.
+pub const DRAIN_GRACE: Span = Span(250_000);
+
 /// Why a JSON text can't be taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FormError {
@@ -199,6 +203,8 @@
 struct RuleInfo {
     #[serde(rename = "askWithin")]
     ask_within: Option<f64>,
+    #[serde(rename = "drainGrace")]
+    drain_grace: Option<f64>,
     #[serde(rename = "coldFrom")]
     cold_from: Option<f64>,
     cold: Option<f64>,
@@ -336,6 +342,10 @@
                     None => Span(u64::MAX),
                     given => span("rules.askWithin", given)?,
                 },
+                drain_grace: match rules.drain_grace {
+                    None => DRAIN_GRACE,
+                    given => span("rules.drainGrace", given)?,
+                },
                 cold_from: need("rules.coldFrom", rules.cold_from)?,
                 cold: span("rules.cold", Some(need("rules.cold", rules.cold)?))?,
                 fall_multiple: need("rules.fallMultiple", rules.fall_multiple)?,
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::clients::phase::Course;
 use crate::close_reason::{CloseReason, Side, log_close};
+use crate::discovery::heard::Heard;
 use crate::figures::Figures;
 use crate::lifecycle::Event;
 use crate::maintenance::Unheard;
@@ -52,6 +53,8 @@
     pub words: Rc<Words>,
     /// What they may read.
     pub figures: Rc<Figures>,
+    /// What discovery was last heard to say.
+    pub heard: Rc<Heard>,
     /// Where the driver of the decisions is asked of members.
     pub inbox: mpsc::UnboundedSender<Input>,
 }
@@ -116,6 +119,8 @@
         if let Ok(Ok((listed, avoided))) = timeout(ASK_WITHIN, asked).await {
             self.figures.members(listed, avoided);
         }
+        let (word, list) = self.heard.age();
+        self.figures.news(word, list, self.heard.version());
         match self.figures.text() {
             Ok(text) => Answer { status: 200, kind: OPEN_METRICS, text },
             Err(_) => said(500, "the figures can't be written"),
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -23,6 +23,7 @@
     state: Option<String>,
     weight: Option<f64>,
     started_ms: Option<f64>,
+    recovery: Option<String>,
 }
 
 /// A list, or the changes to one.
@@ -55,6 +56,8 @@
     pub weight: f64,
     /// When it last started, in Unix milliseconds.
     pub started_ms: Option<u64>,
+    /// The list holds it for its group's primary (`recovery` is `off`); lists may say so late, or not at all.
+    pub primary: bool,
 }
 
 /// News of the list.
@@ -96,7 +99,12 @@
             let weight = s.weight.unwrap_or(1.0);
             let started_ms = Some(count("started_ms", s.started_ms)?).filter(|ms| *ms > 0);
             let (zone, kind) = (s.zone.unwrap_or_default(), s.kind.unwrap_or_default());
-            servers.push(Server { id, addr, zone, kind, group, state, weight, started_ms });
+            let primary = match s.recovery.as_deref() {
+                Some("off") => true,
+                Some("on") | None => false,
+                Some(_) => return Err(wrong("recovery")),
+            };
+            servers.push(Server { id, addr, zone, kind, group, state, weight, started_ms, primary });
         }
         Ok(Listing { version: need("version", self.version)?, full: need("full", self.full)?, servers })
     }
@@ -127,7 +135,7 @@
             state: server.state,
             weight: server.weight,
             started: server.started_ms.map(|ms| Time(ms.saturating_mul(1_000))),
-            primary_hint: false,
+            primary_hint: server.primary,
         };
         (entry, server.addr)
     }
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -1,12 +1,17 @@
 //! Discovery: one watch at a time over HTTP/1.1, and the lists it brings.
 
+pub mod heard;
 pub mod http;
 pub mod list;
 
+use crate::api::Time;
+use crate::clock::Clock;
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::counters::Counters;
 use crate::stages::Input;
+use crate::watching::Watching;
 use futures_util::StreamExt;
+use heard::Heard;
 use http::{Piece, WatchCodec};
 use list::News;
 use log::warn;
@@ -16,7 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 use tokio_util::codec::FramedRead;
 
 /// A connection that is not up by then has failed.
@@ -29,30 +34,77 @@
 /// A watch says something every 2 s, if only an empty line: silent for this long, it is dead.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
 
-/// Watches whenever it is asked to, until the watch fails; then says so and waits to be asked again. When
-/// discovery moves, a new watch begins there at once, from the version known.
+/// When the next watch is opened.
+pub enum Keeping {
+    /// Whenever the decisions ask for one: a service answers the calls of all proxies in turn.
+    Asked(Rc<Notify>),
+    /// Always, at an agent on this machine to which lists are pushed.
+    Kept(Watching),
+}
+
+impl Keeping {
+    async fn due(&self, clock: Clock) {
+        match self {
+            Keeping::Asked(asked) => asked.notified().await,
+            Keeping::Kept(watching) => match watching.due() {
+                Some(at) => sleep_until(clock.instant(Time(at))).await,
+                None => std::future::pending().await,
+            },
+        }
+    }
+
+    fn opening(&mut self, now: Time) {
+        if let Keeping::Kept(watching) = self {
+            watching.opening(now.0);
+        }
+    }
+
+    fn ended(&mut self, now: Time, chance: f64) {
+        if let Keeping::Kept(watching) = self {
+            watching.ended(now.0, chance);
+        }
+    }
+
+    fn moved(&mut self, now: Time) {
+        if let Keeping::Kept(watching) = self {
+            watching.moved(now.0);
+        }
+    }
+}
+
+/// Keeps one watch at a time, and says when one has failed. When discovery moves, a new watch begins there at once,
+/// from the version known.
 pub async fn run(
-    mut at: watch::Receiver<SocketAddr>, mut version: u64, asked: Rc<Notify>,
-    inbox: mpsc::UnboundedSender<Input>, counters: Rc<Counters>, ask_within: Duration,
+    mut at: watch::Receiver<SocketAddr>, mut keeping: Keeping, heard: Rc<Heard>,
+    inbox: mpsc::UnboundedSender<Input>, counters: Rc<Counters>, within: Duration, mut rng: fastrand::Rng,
 ) {
-    let within = answer_within(ask_within);
+    let (clock, mut last) = (heard.clock(), None);
     loop {
         tokio::select! {
-            () = asked.notified() => {}
+            () = keeping.due(clock) => {}
             () = moved(&mut at) => {}
         }
         loop {
             let addr = *at.borrow_and_update();
             counters.calls.add();
+            keeping.opening(clock.now());
             let ended = tokio::select! {
-                reason = watch(addr, &mut version, &inbox, within) => Some(reason),
+                reason = watch(addr, &heard, &inbox, within) => Some(reason),
                 () = moved(&mut at) => None,
             };
-            log_close(Side::Discovery, addr, ended.unwrap_or(CloseReason::Moved));
+            // An agent that is away is tried many times a second: its first refusal tells as much as all of them.
+            let reason = ended.unwrap_or(CloseReason::Moved);
+            let again = reason == CloseReason::Refused && last == Some(reason);
+            if !again || matches!(keeping, Keeping::Asked(_)) {
+                log_close(Side::Discovery, addr, reason);
+            }
+            last = Some(reason);
             if ended.is_some() {
                 break;
             }
+            keeping.moved(clock.now());
         }
+        keeping.ended(clock.now(), rng.f64());
         if inbox.send(Input::List(News::Failed)).is_err() {
             return;
         }
@@ -73,8 +125,9 @@
 }
 
 async fn watch(
-    addr: SocketAddr, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
+    addr: SocketAddr, heard: &Heard, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
 ) -> CloseReason {
+    let version = heard.version();
     let call = format!("GET /v1/endpoints?watch=1&from={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
     let connect = async {
         let mut stream = TcpStream::connect(addr).await?;
@@ -87,13 +140,12 @@
         Ok(Err(_)) => return CloseReason::Refused,
         Err(_) => return CloseReason::ConnectTimeout,
     };
-    follow(stream, version, inbox, within).await
+    follow(stream, heard, inbox, within).await
 }
 
-/// Passes on what a watch brings until it ends; `version` is that of the last list taken. Its first word may take
-/// `within`.
+/// Passes on what a watch brings until it ends, and notes what was heard. Its first word may take `within`.
 pub async fn follow(
-    stream: impl AsyncRead + Unpin, version: &mut u64, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
+    stream: impl AsyncRead + Unpin, heard: &Heard, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
 ) -> CloseReason {
     let mut pieces = FramedRead::new(stream, WatchCodec::default());
     let (mut patience, mut first) = (within, true);
@@ -117,18 +169,23 @@
             Ok(Some(Ok(Piece::Line(line)))) => line,
         };
         patience = SILENT_AFTER;
+        heard.word();
         if line.iter().all(u8::is_ascii_whitespace) {
             continue;
         }
         match list::decode(&line) {
             // An old change would undo newer ones, a drain among them. A whole list that a new watch begins with counts
             // whatever its number: the service may have begun anew.
-            Ok(listing) if listing.version < *version && !(listing.full && first) => {
-                warn!("discovery: version {} was not taken after version {version}", listing.version);
+            Ok(listing) if listing.version < heard.version() && !(listing.full && first) => {
+                warn!(
+                    "discovery: version {} was not taken after version {}",
+                    listing.version,
+                    heard.version()
+                );
             }
             Ok(listing) => {
                 first = false;
-                *version = listing.version;
+                heard.list(listing.version);
                 if inbox.send(Input::List(News::Told(listing))).is_err() {
                     return CloseReason::Stopping;
                 }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -5,8 +5,10 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Registry, Unit};
 use std::fmt;
+use std::sync::atomic::AtomicU64;
+use tokio::time::Instant;
 
 type Labels = Vec<(String, String)>;
 
@@ -35,6 +37,10 @@
     pending: Gauge,
     members: Gauge,
     unavailable: Gauge,
+    word_age: Gauge<f64, AtomicU64>,
+    list_age: Gauge<f64, AtomicU64>,
+    list_version: Gauge,
+    started: Instant,
 }
 
 impl Figures {
@@ -55,7 +61,24 @@
         registry.register("members", "Members in the list", members.clone());
         let avoided = "Listed members avoided, by hand or by choice";
         registry.register("members_unavailable", avoided, unavailable.clone());
-        Figures { registry, ends, attempts, pending, members, unavailable }
+        let (word_age, list_age, list_version) = (Gauge::default(), Gauge::default(), Gauge::default());
+        let heard = "Since discovery last said anything, or the start";
+        registry.register_with_unit("discovery_silence", heard, Unit::Seconds, word_age.clone());
+        let taken = "Since a list was last taken, or the start";
+        registry.register_with_unit("list_age", taken, Unit::Seconds, list_age.clone());
+        registry.register("list_version", "Version of the list in use", list_version.clone());
+        Figures {
+            registry,
+            ends,
+            attempts,
+            pending,
+            members,
+            unavailable,
+            word_age,
+            list_age,
+            list_version,
+            started: Instant::now(),
+        }
     }
 
     /// A request was taken.
@@ -82,6 +105,13 @@
         self.unavailable.set(i64::try_from(avoided).unwrap_or(i64::MAX));
     }
 
+    /// Discovery was heard so many seconds ago, and the list of this version taken, if one was.
+    pub fn news(&self, word: f64, list: Option<f64>, version: u64) {
+        self.word_age.set(word);
+        self.list_age.set(list.unwrap_or_else(|| self.started.elapsed().as_secs_f64()));
+        self.list_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
     /// Requests taken and not yet ended.
     pub fn pending(&self) -> i64 {
         self.pending.get()
--- a/src/members/attempt.rs
+++ b/src/members/attempt.rs
@@ -81,7 +81,11 @@
     pool: &Pool, member: MemberId, statement: impl FnOnce() -> (Bytes, Bytes), progress: &Progress,
     written: impl FnOnce(),
 ) -> Result<(Reply, Option<Link>), Outcome> {
+    // The list may tell of a drain while a connection comes up: what was decided before it is not sent after it.
+    let open = || if pool.admits(member) { Ok(()) } else { Err(Outcome::Ignored) };
+    open()?;
     let mut link = link(pool, member).await?;
+    open()?;
     *progress.reason.borrow_mut() = Some(link.reason());
     let (head, tail) = statement();
     link.write(head, tail).await?;
--- a/src/members/pool.rs
+++ b/src/members/pool.rs
@@ -24,6 +24,8 @@
 struct Slot {
     addr: Option<SocketAddr>,
     idle: Vec<(Link, Instant)>,
+    /// Nothing new may reach the member: it drains or is gone.
+    closed: bool,
 }
 
 struct Inner {
@@ -69,6 +71,16 @@
         end(dropped, CloseReason::GivenBack);
     }
 
+    /// Says which members take anything new. What was decided before and is not on its way yet stays here.
+    pub fn admit(&self, takes_new: impl Fn(MemberId) -> bool) {
+        self.0.slots.borrow_mut().iter_mut().for_each(|(member, slot)| slot.closed = !takes_new(*member));
+    }
+
+    /// Whether anything new may reach a member.
+    pub fn admits(&self, member: MemberId) -> bool {
+        self.0.slots.borrow().get(&member).is_some_and(|slot| !slot.closed)
+    }
+
     /// Where a member listens.
     pub fn addr(&self, member: MemberId) -> Option<SocketAddr> {
         self.0.slots.borrow().get(&member)?.addr
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -1,6 +1,7 @@
 //! The parts put together: one thread, one driver of the decisions, and tasks for everything that waits.
 
 use crate::admin::{self, Controls, OPERATORS};
+use crate::api;
 use crate::clients::desk::Desk;
 use crate::clients::doorway::Doorway;
 use crate::clients::listener;
@@ -8,8 +9,9 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::discovery;
+use crate::discovery::heard::Heard;
 use crate::discovery::list::News;
+use crate::discovery::{self, Keeping};
 use crate::door::Bounds;
 use crate::figures::Figures;
 use crate::lifecycle::Event;
@@ -23,6 +25,7 @@
 use crate::stages::route::Route;
 use crate::stages::send::Sender;
 use crate::takeover::words::Words;
+use crate::watching::Watching;
 use log::info;
 use std::fmt;
 use std::future::Future;
@@ -115,7 +118,14 @@
     let desk = Rc::new(Desk::new(intake, admit, book.clone(), inbox.clone()));
     let subscribe = Rc::new(Notify::new());
     let version = known.as_ref().map_or(0, |k| k.version);
-    let ask_within = Duration::from_micros(site.settings.rules.ask_within.0);
+    let within = discovery::answer_within(Duration::from_micros(site.settings.rules.ask_within.0));
+    let heard = Rc::new(Heard::new(version, clock));
+    let keeping = match site.settings.discovery {
+        api::Discovery::OnRequest => Keeping::Asked(subscribe.clone()),
+        api::Discovery::Pushed => {
+            Keeping::Kept(Watching::new(clock.now().0, site.settings.rules.drain_grace.0))
+        }
+    };
     let router = Router::new(site.settings, config.seed, clock.now());
     let relay = Relay::default();
     if let Some(known) = known {
@@ -124,11 +134,13 @@
     let (asked, maintenance) = (inbox.clone(), Rc::default());
     let words =
         Words::new(Rc::clone(&maintenance), shared.map(|dir| dir.join("words")), clock, inbox.clone());
-    let subscribed = subscribe.clone();
-    let route =
-        Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribed, maintenance);
+    let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe, maintenance);
     let driver = spawn_local(route.run());
-    spawn_local(discovery::run(discovery, version, subscribe, inbox, counters.clone(), ask_within));
+    let chance = fastrand::Rng::with_seed(config.seed);
+    let (kept, calls) = (heard.clone(), counters.clone());
+    spawn_local(discovery::run(discovery, keeping, kept, inbox, calls, within, chance));
+    let kept = heard.clone();
+    spawn_local(async move { kept.look_after().await });
     spawn_local(pool.look_after());
     spawn_local(doorway.clone().look_after());
     let course = Course::new(clock);
@@ -139,7 +151,7 @@
     if let Some(operators) = listeners.operators {
         spawn_local(admin::run(
             operators,
-            Rc::new(Controls { course: course.clone(), words: words.clone(), figures, inbox: asked }),
+            Rc::new(Controls { course: course.clone(), words: words.clone(), figures, heard, inbox: asked }),
         ));
     }
     tokio::select! {
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -178,6 +178,7 @@
         let router = &self.router;
         self.names.retain(|member| router.knows(member));
         self.pool.retain(|member| router.knows(member));
+        self.pool.admit(|member| router.takes_new(member));
     }
 
     fn entries(&mut self, listing: Listing) -> Arc<Vec<ListEntry>> {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -16,14 +16,16 @@
 use linenhill::close_reason::CloseReason;
 use linenhill::config::{Config, Reading, Variables};
 use linenhill::counters::Counters;
-use linenhill::discovery::{self, list, list::News};
+use linenhill::discovery::{self, heard::Heard, list, list::News};
 use linenhill::door::Bounds;
 use linenhill::figures::Figures;
 use linenhill::lifecycle::View;
 use linenhill::maintenance::Maintenance;
+use linenhill::members::attempt::{self, Errand};
 use linenhill::members::link::Link;
 use linenhill::members::pool::Pool;
 use linenhill::policy::Router;
+use linenhill::request::Payload;
 use linenhill::stages::admit::Admit;
 use linenhill::stages::book::Book;
 use linenhill::stages::intake::Intake;
@@ -63,16 +65,16 @@
         }
         std::future::pending::<()>().await;
     };
-    let mut version = 41;
+    let heard = Heard::new(41, Clock::start());
     let reason = tokio::select! {
-        reason = discovery::follow(stream, &mut version, &inbox, WITHIN) => reason,
+        reason = discovery::follow(stream, &heard, &inbox, WITHIN) => reason,
         () = told => unreachable!(),
     };
     let mut lists = 0;
     while let Ok(input) = events.try_recv() {
         lists += usize::from(matches!(input, Input::List(News::Told(_))));
     }
-    (version, lists, reason)
+    (heard.version(), lists, reason)
 }
 
 // Guards against trusting a watch whose service is gone without a word: only its blank lines show it alive.
@@ -463,6 +465,35 @@
     tokio::task::LocalSet::new().run_until(play).await;
 }
 
+// Guards against work that was decided before a drain was told of and sent after it, since its connection took its time.
+#[tokio::test]
+async fn a_statement_that_waits_for_its_connection_is_not_sent_once_the_member_drains() {
+    let play = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (m, long) = (MemberId(1), Duration::from_secs(60));
+        let pool = Pool::new(2, long, long, Rc::new(Counters::default()));
+        for drains in [true, false] {
+            pool.locate(m, listener.local_addr().expect("an address"));
+            pool.admit(|_| true);
+            let payload = Payload::cut(&Bytes::from_static(b"/* d=9 */ SELECT 1"), 5..6);
+            let errand = Errand { member: m, payload, until: tokio::time::Instant::now() + long };
+            let (_call_off, called_off) = tokio::sync::oneshot::channel();
+            let run = tokio::task::spawn_local(attempt::run(pool.clone(), errand, called_off, || ()));
+            let (mut far, _) = listener.accept().await.expect("a connection");
+            let length = far.read_u32().await.expect("a length") as usize;
+            far.read_exact(&mut vec![0; length - 4]).await.expect("a startup message");
+            pool.admit(|_| !drains);
+            far.write_all(&[typed(b'R', &[0; 4]), typed(b'Z', b"I")].concat()).await.expect("written");
+            let first = far.read_u8().await.ok();
+            assert_eq!(first, (!drains).then_some(b'Q'), "drains: {drains}");
+            drop(far);
+            let ending = run.await.expect("an end").outcome;
+            assert_eq!(ending, if drains { Outcome::Ignored } else { Outcome::Reset });
+        }
+    };
+    tokio::task::LocalSet::new().run_until(play).await;
+}
+
 fn typed(kind: u8, body: &[u8]) -> Vec<u8> {
     [&[kind], &(4 + body.len() as u32).to_be_bytes()[..], body].concat()
 }
--- /dev/null
+++ b/tests/pushed.rs
@@ -0,0 +1,147 @@
+//! The program where an agent on its machine holds the list, members report to probes only, and drains bind at once:
+//! the second kind of site. Nothing here looks at a clock: each step waits for what the one before brings about.
+
+mod harness;
+
+use harness::{Act, Program, answer, client, file, peer, program, start};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const PUSHED: &str = include_str!("../examples/pushed.json");
+const READ: &str = "/* id=a1,c=any,d=60000,cluster=1 */ SELECT val FROM state WHERE uid = 'aa'";
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+async fn bind() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("an address").to_string();
+    (listener, at)
+}
+
+/// A watch that the program has opened: from which version.
+async fn watched(agent: &TcpListener) -> (TcpStream, u64) {
+    let (mut call, _) = agent.accept().await.expect("a call");
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        head.push(char::from(call.read_u8().await.expect("more of the head")));
+    }
+    let from = head.split("&from=").nth(1).and_then(|t| t.split(' ').next()).and_then(|v| v.parse().ok());
+    (call, from.unwrap_or_else(|| panic!("no watch: {head}")))
+}
+
+async fn tell(call: &mut TcpStream, head: bool, line: &str) {
+    let head = if head { HEAD } else { "" };
+    let text = format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1);
+    call.write_all(text.as_bytes()).await.expect("written");
+}
+
+fn list(version: u64, id: &str, addr: &str, state: &str) -> String {
+    format!(
+        r#"{{"version":{version},"full":false,"servers":[{{"id":"{id}","addr":"{addr}","zone":"a","kind":"toy","cell":1,"state":"{state}","weight":1.0,"started_ms":0,"recovery":"on"}}]}}"#
+    )
+}
+
+/// Starts three members, the first of them primary, and the program before an agent that the test plays.
+fn play<F: Future<Output = ()>>(
+    name: &str, test: impl FnOnce(SocketAddr, Rc<Program>, TcpListener, [String; 3]) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let all = async {
+        let mut config = PUSHED.to_string();
+        let mut members = Vec::new();
+        for i in 0..3 {
+            let (listener, at) = bind().await;
+            config = config.replace(&format!("127.0.0.1:700{}", i + 1), &at);
+            members.push(at);
+            let act = move |_: String| std::future::ready(Act::Row(format!("from {i}")));
+            tokio::task::spawn_local(peer::member(listener, i == 0, act));
+        }
+        let (agent, at) = bind().await;
+        let config = config.replace("127.0.0.1:8500", &at).replace("\"slo\": 800000", "\"slo\": 30000000");
+        let config = config.replace("\"connectTimeout\": 250000", "\"connectTimeout\": 5000000");
+        let path = file(&format!("{name}.json"), &config);
+        let program = Rc::new(start(program(&path), path));
+        let members = members.try_into().unwrap_or_else(|_| panic!("three members"));
+        test(program.address("listens on "), program.clone(), agent, members).await;
+    };
+    runtime.block_on(tokio::task::LocalSet::new().run_until(all));
+}
+
+// Guards against a program that lives on its saved list for ever, since nobody asks for a watch where lists are
+// pushed: from the start, after a watch that ended, after an agent that was away, and over a start anew.
+#[test]
+fn the_watch_is_open_from_the_start_and_again_whenever_it_ends() {
+    play("watch", |_, program, agent, [first, ..]| async move {
+        let (mut call, from) = watched(&agent).await;
+        assert_eq!(from, 1, "the version of the saved list");
+        tell(&mut call, true, &list(5, "m-1", &first, "in_service")).await;
+        program.says("list version 5").await;
+        drop(call);
+        let (call, from) = watched(&agent).await;
+        assert_eq!(from, 5);
+        // Ended without a word, many times over; and then nobody listens for a while.
+        drop(call);
+        for _ in 0..5 {
+            assert_eq!(watched(&agent).await.1, 5);
+        }
+        let at = agent.local_addr().expect("an address");
+        drop(agent);
+        program.says("code=refused").await;
+        let agent = TcpListener::bind(at).await.expect("the port again");
+        let (mut call, from) = watched(&agent).await;
+        assert_eq!(from, 5);
+        tell(&mut call, true, "").await;
+        tell(&mut call, false, &list(6, "m-1", &first, "in_service")).await;
+        program.says("list version 6").await;
+        program.signal("-TERM");
+        assert!(program.end().await.success());
+        let again = start(harness::program(&program.config), program.config.clone());
+        assert_eq!(watched(&agent).await.1, 1, "a new process begins at its saved list");
+        drop(again);
+    });
+}
+
+// Guards against a reload that leaves the program without a watch, or with the one at the old agent.
+#[test]
+fn a_reload_moves_the_watch_to_the_new_agent() {
+    play("moved", |_, program, agent, [first, ..]| async move {
+        let (mut old, _) = watched(&agent).await;
+        tell(&mut old, true, &list(5, "m-1", &first, "in_service")).await;
+        program.says("list version 5").await;
+        let (other, at) = bind().await;
+        let text = std::fs::read_to_string(&program.config).expect("a file");
+        let before = agent.local_addr().expect("an address").to_string();
+        std::fs::write(&program.config, text.replace(&before, &at)).expect("a file");
+        program.signal("-HUP");
+        let (mut call, from) = watched(&other).await;
+        assert_eq!(from, 5);
+        tell(&mut call, true, &list(6, "m-1", &first, "in_service")).await;
+        program.says("list version 6").await;
+        assert_eq!(old.read(&mut [0; 8]).await.unwrap_or(0), 0, "the old watch is closed");
+    });
+}
+
+// Guards against new work at a member whose drain the agent has told of, and against a list of roles that is not read:
+// the write must find the primary that only the list names.
+#[test]
+fn what_the_agent_tells_is_acted_on_at_once() {
+    play("drained", |at, program, agent, [_, second, third]| async move {
+        let (mut call, _) = watched(&agent).await;
+        tell(&mut call, true, &list(5, "m-2", &second, "terminating")).await;
+        tell(&mut call, false, &list(6, "m-3", &third, "terminated")).await;
+        program.says("list version 6").await;
+        let write = READ.replace("c=any", "c=order").replace(
+            "SELECT val FROM state WHERE uid = 'aa'",
+            "INSERT INTO state VALUES ('aa', 'x') RETURNING val",
+        );
+        let mut c = client(at, &[&write]).await;
+        assert!(answer(&mut c).await.contains("from 0"));
+        for n in 0..40 {
+            let read = READ.replace("id=a1", &format!("id=r{n}"));
+            c.write_all(&harness::encoded(&[harness::query(&read)])).await.expect("written");
+            let got = answer(&mut c).await;
+            assert!(!got.contains("from 1") && !got.contains("from 2"), "{got}");
+        }
+    });
+}
