Members are given fewer requests at once, and last tries only where there is room to spare

At fault: STRAIN let latency rise to 0.65 of the aim (exp(-1/0.65) = 21% of exponential work late), LIMIT's least and its cap of 0.3 in cut() idled members under a slowness that all share, and on_request took each try for a first one.

A tenant's bucket moves to decisions::allowance. Draining members get no probe.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -87,6 +87,8 @@
 pub struct Class {
     /// Full worth is earned up to here, from arrival.
     pub aim: Span,
+    /// Clients give up after this long, over all their tries; 0 where that isn't told.
+    pub give_up: Span,
     /// What a repeat would do.
     pub effect: Effect,
     /// Worth of an answer in time.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,11 +1,13 @@
 //! Everything that decides: which member gets a request, when, what happens after failures ([`policy`]), which zones
 //! have gone silent ([`outage`]), how the ill are tried ([`recovery`]), who of the clients' connections is let in
-//! ([`door`]), when discovery is asked ([`asking`]) or watched ([`watching`]), and how old its news is ([`freshness`]).
+//! ([`door`]), when discovery is asked ([`asking`]) or watched ([`watching`]), and how old its news is ([`freshness`]),
+//! how long clients have waited already ([`patience`]), and what tenants may ask for ([`allowance`]).
 //! State machines that are told what happened and when, and push what is to be done; no I/O, no clock, no async,
 //! nothing of linenhill's other packages.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod allowance;
 pub mod api;
 pub mod asking;
 pub mod door;
@@ -13,6 +15,7 @@
 pub mod lifecycle;
 pub mod maintenance;
 pub mod outage;
+pub mod patience;
 pub mod policy;
 pub mod recovery;
 mod state;
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -166,7 +166,7 @@
     }
 
     fn cut(&mut self, member: MemberId) {
-        let (now, least) = (self.now, self.shared(LIMIT.1).min(0.3));
+        let (now, least) = (self.now, self.shared(LIMIT.1).min(1.0));
         if let Some(m) = self.members.get_mut(&member).filter(|m| now >= m.cut_at + 200 * MS) {
             m.limit = (m.limit.min(m.open.len() as f64 + 1.0) * 0.85).max(least);
             m.cut_at = now;
--- a/crates/decisions/src/policy/holds.rs
+++ b/crates/decisions/src/policy/holds.rs
@@ -19,13 +19,14 @@
             && let rate = self.shared(self.set.tenants[t.0].allowance_per_s)
             && let Some(bucket) = self.buckets.get_mut(t.0)
         {
-            let level = (bucket.0 - (now - bucket.1) as f64 / 1e6 * rate).max(0.0);
-            let over = level > rate.max(1.0);
-            worth *= if over { self.set.over_share_worth } else { 1.0 };
-            *bucket = (if over { level } else { level + 1.0 }, now);
+            worth *= if bucket.over(now, rate) { self.set.over_share_worth } else { 1.0 };
         }
         let part = WAIT_PART.0 + (WAIT_PART.1 - WAIT_PART.0) * self.rng.get_mut().f64();
-        let aim = left.min(self.aim(class) as Us);
+        // A client that came long ago waits for what is left of its patience: little or no worth is left either.
+        let (full, work) = (self.aim(class) as Us, self.means[class]);
+        let rest = self.waits[class].rest(left, full, work);
+        let aim = left.min(rest.unwrap_or(full));
+        worth *= if rest.is_none() { self.set.classes[class].late_worth } else { 1.0 };
         let r = Held {
             class,
             group,
@@ -36,6 +37,7 @@
             floor: self.floor(&q),
             fall_at: now + WAIT.min((aim as f64 * part) as Us),
             worth,
+            spent: rest.is_none(),
             ..Held::default()
         };
         self.requests.insert(id, r);
@@ -45,7 +47,6 @@
     /// Sends a held request on if it can go now; else it stays held, or is given up if it can't succeed.
     pub(super) fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        let group = r.group;
         if !self.winnable(r) {
             return self.give_up(id, out);
         }
@@ -55,7 +56,7 @@
         if self.pressed(r) {
             return self.give_up(id, out);
         }
-        self.groups.entry(group).or_default().held.insert(id);
+        self.groups.entry(r.group).or_default().held.insert(id);
     }
 
     fn choose(&self, r: &Held) -> Option<MemberId> {
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -202,7 +202,7 @@
 
     pub(super) fn probe(&mut self, id: MemberId, out: &mut Vec<Action>) {
         let now = self.now;
-        if let Some(m) = self.members.get_mut(&id).filter(|m| self.set.limits.probe && !m.probing) {
+        if let Some(m) = self.members.get_mut(&id).filter(|m| self.set.limits.probe && m.may_be_probed()) {
             (m.probing, m.probed) = (true, now);
             out.push(Action::Probe { member: id });
         }
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -55,11 +55,11 @@
 const SHARPNESS: f64 = 2.5;
 /// How strongly reads of any age gather on the replica furthest behind.
 const GATHER: i32 = 24;
-/// In-flight limit of a member, over all routers: start, least, step up; at one router: highest start, most.
-const LIMIT: (f64, f64, f64) = (16.0, 2.0, 2.0);
+/// In-flight limit of a member, over all routers: start, least (its cores), step up; at one: first, most.
+const LIMIT: (f64, f64, f64) = (16.0, 3.0, 2.0);
 const LIMIT_ONE: (f64, f64) = (6.0, 64.0);
-/// Latency as a share of the aim: from the first a member is strained, above the second its limit shrinks.
-const STRAIN: (f64, f64) = (0.4, 0.65);
+/// Latency over aim: from the first strained, above the second limits shrink; exp(-1 / it) of answers are late.
+const STRAIN: (f64, f64) = (0.2, 0.3);
 /// Cores' worth of bearable work that all routers together may give a cold member.
 const COLD_CORES: f64 = 3.0;
 /// The use of its processors that a cold member is brought to; the most by which its own word changes its
--- a/crates/decisions/src/policy/refusals.rs
+++ b/crates/decisions/src/policy/refusals.rs
@@ -8,7 +8,7 @@
     pub(super) fn pressed(&self, r: &Held) -> bool {
         let lead = (self.means[r.class] * LEAD.0).min((r.aim_at - r.arrived) as f64 * LEAD.1);
         let late = self.now >= r.fall_at.max(r.aim_at.saturating_sub(lead as Us));
-        late && self.set.classes[r.class].late_worth == 0.0
+        (late || r.spent) && self.set.classes[r.class].late_worth == 0.0
     }
 
     /// Whether an answer can still be worth something to the client. What reached nobody, the primary away or
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,8 +1,10 @@
 //! What a router keeps in mind: plain records, no decisions. The decisions on them are in `policy/`.
 
+use crate::allowance::Allowance;
 use crate::api::*;
 use crate::asking::Asking;
 use crate::outage::{Out, Outages};
+use crate::patience::Patience;
 pub(crate) use crate::recovery::Ill;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,6 +29,8 @@
     pub(crate) floor: Us,
     pub(crate) fall_at: Us,
     pub(crate) worth: f64,
+    /// Its client began so long ago that an answer is worth little.
+    pub(crate) spent: bool,
     pub(crate) ran_from: Option<Us>,
     pub(crate) reached: bool,
     pub(crate) attempts: u32,
@@ -75,6 +79,11 @@
 }
 
 impl Member {
+    /// A probe is new work, too: none while one is out, or the member drains or is gone.
+    pub(crate) fn may_be_probed(&self) -> bool {
+        self.state == MemberState::InService && !self.probing
+    }
+
     /// What is out here, each with its usual time by its class's mean.
     pub(crate) fn waits(&self, id: MemberId, means: &[f64]) -> impl Iterator<Item = Out> {
         let usual = |class: usize| means[class] * self.ratio.clamp(1.0, 4.0);
@@ -110,7 +119,8 @@
     pub(crate) requests: BTreeMap<RequestId, Held>,
     pub(crate) means: Vec<f64>,
     pub(crate) patience: Vec<f64>,
-    pub(crate) buckets: Vec<(f64, Us)>,
+    pub(crate) waits: Vec<Patience>,
+    pub(crate) buckets: Vec<Allowance>,
     pub(crate) copies: f64,
     pub(crate) lost: f64,
     pub(crate) link_cost: f64,
@@ -149,10 +159,11 @@
 
     /// An empty record.
     pub(crate) fn blank(set: Settings, rng: fastrand::Rng, now: Us) -> Router {
+        let waits = set.classes.iter().map(|c| Patience::new(c.give_up.0)).collect();
         let first = (set.discovery == Discovery::OnRequest).then_some(now);
         Router {
             asking: Asking::new(set.me, set.fleet_size, set.rules.ask_within.0, first),
-            buckets: vec![(0.0, now); set.tenants.len()],
+            buckets: vec![Allowance::new(now); set.tenants.len()],
             set,
             rng: RefCell::new(rng),
             now,
@@ -161,6 +172,7 @@
             requests: BTreeMap::new(),
             means: Vec::new(),
             patience: Vec::new(),
+            waits,
             copies: 0.0,
             lost: 0.0,
             link_cost: 0.0,
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -14,8 +14,14 @@
 pub const GROUP: GroupId = GroupId(7);
 
 pub fn settings() -> Settings {
-    let class =
-        |aim: u64, effect, read| Class { aim: Span(aim * MS), effect, worth: 1.0, late_worth: 0.2, read };
+    let class = |aim: u64, effect, read| Class {
+        aim: Span(aim * MS),
+        give_up: Span(0),
+        effect,
+        worth: 1.0,
+        late_worth: 0.2,
+        read,
+    };
     Settings {
         tick: Span(5 * MS),
         me: None,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -292,9 +292,17 @@
             };
             let aim = span(&at("slo"), Some(need(&at("slo"), c.slo)?))?;
             let worth = need(&at("points"), c.points)?;
-            longest = longest.max(span(&at("giveUp"), c.give_up)?);
+            let give_up = span(&at("giveUp"), c.give_up)?;
+            longest = longest.max(give_up);
             names.insert(need(&at("name"), c.name)?, ClassId(i));
-            classes.push(Class { aim, effect, worth, late_worth: c.late_worth.unwrap_or(0.0), read });
+            classes.push(Class {
+                aim,
+                give_up,
+                effect,
+                worth,
+                late_worth: c.late_worth.unwrap_or(0.0),
+                read,
+            });
         }
         let (mut tenants, mut tenant_names) = (Vec::new(), BTreeMap::new());
         for (i, t) in self.tenants.unwrap_or_default().into_iter().enumerate() {
