--- a/crates/decisions/src/policy/holds.rs
+++ b/crates/decisions/src/policy/holds.rs
@@ -22,7 +22,7 @@
             worth *= if bucket.over(now, rate) { self.set.over_share_worth } else { 1.0 };
         }
         let part = WAIT_PART.0 + (WAIT_PART.1 - WAIT_PART.0) * self.rng.get_mut().f64();
-        // A client that came long ago waits for what is left of its patience: little or no worth is left either.
+        // Whoever began long ago waits for the rest of its patience: little or no worth is left either.
         let (full, work) = (self.aim(class) as Us, self.means[class]);
         let rest = self.waits[class].rest(left, full, work);
         let aim = left.min(rest.unwrap_or(full));
