Strain allows for the noise of few samples, as in a fleet of hundreds

At fault: on_served compared strain with fixed limits, while a proxy of 300 sees a member once in seconds, so that its strain is hardly more than the last sample: one long piece of work made it rest for taken x (1 / limit - 1).

--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -153,14 +153,14 @@
         (m.judged, m.failed) = (now, 0);
         m.ratio += weight * ((taken / mean).min(10.0) - m.ratio);
         m.strain += weight * ((taken / aim).min(2.0) - m.strain);
-        // Many routers with one in flight each are a queue too: under strain a member rests between requests.
-        // Harm: tight aims with varied work look like strain.
-        if m.strain > STRAIN.0 {
+        // Many routers with one in flight each are a queue: under strain, beyond few samples' noise, it rests.
+        let strained = STRAIN.0 * (1.0 + STRAIN.2 * (weight / (2.0 - weight)).sqrt());
+        if m.strain > strained {
             rest(m, now, taken);
         } else if m.open.len() as f64 + 1.0 >= m.limit / 2.0 {
             m.limit = (m.limit + step / m.limit.max(1.0)).min(LIMIT_ONE.1);
         }
-        if m.strain > STRAIN.1 {
+        if m.strain > strained * STRAIN.1 {
             self.cut(member);
         }
     }
