--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -153,7 +153,7 @@
         (m.judged, m.failed) = (now, 0);
         m.ratio += weight * ((taken / mean).min(10.0) - m.ratio);
         m.strain += weight * ((taken / aim).min(2.0) - m.strain);
-        // Many routers with one in flight each are a queue: under strain, beyond few samples' noise, it rests.
+        // Many routers with one in flight each are a queue: strained beyond the noise, it rests.
         let strained = STRAIN.0 * (1.0 + STRAIN.2 * (weight / (2.0 - weight)).sqrt());
         if m.strain > strained {
             rest(m, now, taken);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -58,7 +58,7 @@
 /// In-flight limit of a member, over all routers: start, least (its cores), step up; at one: first, most.
 const LIMIT: (f64, f64, f64) = (16.0, 3.0, 2.0);
 const LIMIT_ONE: (f64, f64) = (6.0, 64.0);
-/// Latency over aim: from the first strained, from so many times it limits shrink; what a sample's noise adds.
+/// Latency over aim: from the first strained, so many times it limits shrink; what noise adds.
 const STRAIN: (f64, f64, f64) = (0.133, 1.5, 2.0);
 /// Cores' worth of bearable work that all routers together may give a cold member.
 const COLD_CORES: f64 = 3.0;
