Budgets of the whole fleet: a roster and shares as pure machines, never above the whole

Need: each proxy takes 1 / fleet_size of what all may use, wrong whenever proxies die, restart or see uneven traffic. Change: decisions::roster (seats held by incarnations, log time) and decisions::shares: table (granters, apply(entry) -> effects), holder (a proxy, checked at the moment of use), divide (max-min fair, whole units). A share counts at its holder from when it asked, at the table from when it was agreed, stretched by the bound on drift; older larger grants count until the holder goes by a newer one; what is in use counts beyond the lease; floors are set aside first.

--- /dev/null
+++ b/crates/decisions/src/planted.rs
@@ -0,0 +1,60 @@
+//! Faults planted on purpose, to show that the checkers of the agreed state catch them. Without the feature
+//! `planted-faults` none can be chosen and none is compiled in.
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Leases count at the granter without the bound on drift.
+    NoDriftMargin,
+    /// Leases count at the holder from when the grant came.
+    LeaseFromReceipt,
+    /// Nobody who wants something gets nothing.
+    RoundingUp,
+    /// A new incarnation takes over what the old one held.
+    OldIncarnation,
+    /// What is in use counts no more once the share is smaller.
+    FreedEarly,
+    /// A floor counts no longer than a share.
+    FloorTwice,
+}
+
+impl Fault {
+    /// All of them, with the names by which they are chosen.
+    pub const ALL: [(Fault, &str); 6] = [
+        (Fault::NoDriftMargin, "no-drift-margin"),
+        (Fault::LeaseFromReceipt, "lease-from-receipt"),
+        (Fault::RoundingUp, "rounding-up"),
+        (Fault::OldIncarnation, "old-incarnation"),
+        (Fault::FreedEarly, "freed-early"),
+        (Fault::FloorTwice, "floor-twice"),
+    ];
+}
+
+#[cfg(feature = "planted-faults")]
+mod chosen {
+    use super::Fault;
+    use std::cell::Cell;
+
+    thread_local! {
+        static CHOSEN: Cell<Option<Fault>> = const { Cell::new(None) };
+    }
+
+    /// Plants a fault in this thread, or none.
+    pub fn plant(fault: Option<Fault>) {
+        CHOSEN.set(fault);
+    }
+
+    pub(crate) fn planted(fault: Fault) -> bool {
+        CHOSEN.get() == Some(fault)
+    }
+}
+
+#[cfg(feature = "planted-faults")]
+pub use chosen::plant;
+#[cfg(feature = "planted-faults")]
+pub(crate) use chosen::planted;
+
+#[cfg(not(feature = "planted-faults"))]
+pub(crate) const fn planted(_: Fault) -> bool {
+    false
+}
--- /dev/null
+++ b/crates/decisions/src/shares/table.rs
@@ -0,0 +1,379 @@
+//! The granters' half: what each proxy may use, and for how long that must be counted. The same at every keeper, changed
+//! only by the entries of the agreed log; see [`crate::roster`] for what time is here.
+
+use super::divide::{Claim, divide};
+use super::{Ask, BUDGETS_MOST, Budget, Budgets, Grant, Need, Share};
+use crate::planted::{Fault, planted};
+use crate::roster::{Roster, Terms, Unseated};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Grants of one holder that are counted apart; beyond that the two oldest count as one that is as large as the larger
+/// and lasts as long as the longer.
+const GRANTS_MOST: usize = 8;
+/// Who has more than others of units that don't go round passes it on after so many leases.
+const TURN_LEASES: u64 = 3;
+
+/// A grant that its holder may still go by.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Live {
+    /// The number of the request that it answers.
+    #[prost(uint64, tag = "1")]
+    pub seq: u64,
+    /// Units.
+    #[prost(uint64, tag = "2")]
+    pub units: u64,
+    /// They count until then, in log time.
+    #[prost(uint64, tag = "3")]
+    pub until: u64,
+    /// The floor.
+    #[prost(uint64, tag = "4")]
+    pub floor: u64,
+    /// It counts until then.
+    #[prost(uint64, tag = "5")]
+    pub floor_until: u64,
+}
+
+/// What one incarnation holds of one budget.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Holding {
+    /// Grants that it may still go by, oldest first.
+    #[prost(message, repeated, tag = "1")]
+    pub grants: Vec<Live>,
+    /// What it said it had in use.
+    #[prost(uint64, tag = "2")]
+    pub in_use: u64,
+    /// That counts until then.
+    #[prost(uint64, tag = "3")]
+    pub in_use_until: u64,
+    /// What it said it could use.
+    #[prost(uint64, tag = "4")]
+    pub demand: u64,
+    /// When it last said so.
+    #[prost(uint64, tag = "5")]
+    pub said: u64,
+    /// Since when it has had its part of units that don't go round, or when it last had one.
+    #[prost(uint64, tag = "6")]
+    pub turn: u64,
+    /// Whether it has one.
+    #[prost(bool, tag = "7")]
+    pub served: bool,
+}
+
+impl Holding {
+    /// The most that it can have in use at `now`.
+    pub fn counted(&self, now: u64) -> u64 {
+        let live = |g: &Live| {
+            let units = if now < g.until { g.units } else { 0 };
+            units.max(if now < g.floor_until { g.floor } else { 0 })
+        };
+        let granted = self.grants.iter().map(live).max().unwrap_or(0);
+        granted.max(if now < self.in_use_until { self.in_use } else { 0 })
+    }
+
+    fn add(&mut self, grant: Live) {
+        // What is no larger and no longer than the new one counts within it.
+        let within = |g: &Live| {
+            (g.units <= grant.units && g.until <= grant.until || g.units == 0)
+                && (g.floor <= grant.floor && g.floor_until <= grant.floor_until || g.floor == 0)
+        };
+        self.grants.retain(|g| !within(g));
+        self.grants.push(grant);
+        if self.grants.len() > GRANTS_MOST {
+            let oldest = self.grants.remove(0);
+            let next = &mut self.grants[0];
+            next.seq = next.seq.max(oldest.seq);
+            (next.units, next.until) = (next.units.max(oldest.units), next.until.max(oldest.until));
+            next.floor = next.floor.max(oldest.floor);
+            next.floor_until = next.floor_until.max(oldest.floor_until);
+        }
+    }
+
+    fn tidy(&mut self, now: u64) {
+        self.grants.retain(|g| now < g.until || now < g.floor_until);
+    }
+
+    fn is_over(&self, now: u64) -> bool {
+        self.grants.is_empty() && now >= self.in_use_until
+    }
+}
+
+/// One budget with all that is held of it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Line {
+    /// The budget; none once it is declared no more, until all is given back.
+    #[prost(message, optional, tag = "1")]
+    pub budget: Option<Budget>,
+    /// By incarnation.
+    #[prost(btree_map = "uint64, message", tag = "2")]
+    pub holdings: BTreeMap<u64, Holding>,
+}
+
+impl Line {
+    /// The most that can be in use at `now`, by all together.
+    pub fn counted(&self, now: u64) -> u64 {
+        self.holdings.values().map(|h| h.counted(now)).fold(0, u64::saturating_add)
+    }
+}
+
+/// What the agreed log may say of budgets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// These budgets, in the place of all before, under these terms.
+    Declare {
+        /// How long things hold.
+        terms: Terms,
+        /// The budgets.
+        budgets: Budgets,
+    },
+    /// An instance asks.
+    Ask {
+        /// Its name.
+        name: String,
+        /// Its incarnation.
+        incarnation: u64,
+        /// Its version.
+        version: String,
+        /// Its zone.
+        zone: String,
+        /// The request.
+        ask: Ask,
+    },
+    /// Operators say that an instance is gone for good: what it holds ends by itself, and it gets nothing more.
+    Remove {
+        /// Its name.
+        name: String,
+    },
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Effect {
+    /// Who asked.
+    pub name: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The grant, or why there is none.
+    pub answer: Result<Grant, Unseated>,
+}
+
+/// The table.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Table {
+    /// Who is there.
+    #[prost(message, required, tag = "1")]
+    pub roster: Roster,
+    /// How long things hold.
+    #[prost(message, required, tag = "2")]
+    pub terms: Terms,
+    /// The budgets by name.
+    #[prost(btree_map = "string, message", tag = "3")]
+    pub lines: BTreeMap<String, Line>,
+}
+
+/// One entry's request, let in.
+struct Seated {
+    name: String,
+    incarnation: u64,
+    ask: Ask,
+}
+
+impl Table {
+    /// Takes an entry of the log in: `elapsed` microseconds went by on its leader's clock since the entry before of that
+    /// leader's, or since it became leader; then the commands, in their order.
+    pub fn apply(&mut self, elapsed: u64, commands: Vec<Command>) -> Vec<Effect> {
+        self.roster.pass(elapsed);
+        self.tidy();
+        let (mut effects, mut seated) = (Vec::new(), Vec::new());
+        for command in commands {
+            match command {
+                Command::Declare { terms, budgets } => self.declare(terms, budgets),
+                Command::Remove { name } => self.remove(&name),
+                Command::Ask { name, incarnation, version, zone, ask } => {
+                    match self.roster.ask(&name, incarnation, ask.seq) {
+                        Err(problem) => {
+                            effects.push(Effect { name, incarnation, answer: Err(problem) });
+                        }
+                        Ok(new) => {
+                            if new && planted(Fault::OldIncarnation) {
+                                self.take_over(&name, incarnation);
+                            }
+                            if let Some(seat) = self.roster.seats.get_mut(&name).filter(|_| new) {
+                                (seat.version, seat.zone) = (version, zone);
+                            }
+                            self.note(incarnation, &ask);
+                            seated.push(Seated { name, incarnation, ask });
+                        }
+                    }
+                }
+            }
+        }
+        let mut grants: Vec<BTreeMap<String, Share>> = vec![BTreeMap::new(); seated.len()];
+        let names: Vec<String> = self.lines.keys().cloned().collect();
+        for budget in names {
+            for (share, grant) in self.share(&budget, &seated).into_iter().zip(&mut grants) {
+                share.into_iter().for_each(|share| _ = grant.insert(budget.clone(), share));
+            }
+        }
+        let Terms { lease_us, membership_us, drift_ppm } = self.terms;
+        for (Seated { name, incarnation, ask }, shares) in seated.into_iter().zip(grants) {
+            let grant = Grant { seq: ask.seq, lease_us, membership_us, drift_ppm, shares };
+            effects.push(Effect { name, incarnation, answer: Ok(grant) });
+        }
+        effects
+    }
+
+    /// Only planted: what all others held counts no more.
+    fn take_over(&mut self, name: &str, incarnation: u64) {
+        let seats: BTreeSet<u64> = self.roster.seats.values().map(|s| s.incarnation).collect();
+        debug_assert!(self.roster.seats.get(name).is_some_and(|s| s.incarnation == incarnation));
+        self.lines.values_mut().for_each(|l| l.holdings.retain(|i, _| seats.contains(i)));
+    }
+
+    /// How long a seat is kept after its holder last asked: until nothing of its can count any more.
+    fn seat_kept(&self) -> u64 {
+        let outlives = self.lines.values().filter_map(|l| l.budget.as_ref()).map(|b| b.outlives_us);
+        let longest = self.terms.membership_us.max(self.terms.lease_us);
+        self.terms.stretched(longest.saturating_add(outlives.max().unwrap_or(0)))
+    }
+
+    fn tidy(&mut self) {
+        let (now, kept) = (self.roster.now, self.seat_kept());
+        for line in self.lines.values_mut() {
+            line.holdings.values_mut().for_each(|h| h.tidy(now));
+            line.holdings.retain(|_, h| !h.is_over(now));
+        }
+        self.lines.retain(|_, line| line.budget.is_some() || !line.holdings.is_empty());
+        self.roster.seats.retain(|_, seat| now < seat.heard.saturating_add(kept));
+    }
+
+    /// New budgets in the place of all before. What is held counts on, also of what is declared no more: a budget that
+    /// comes back smaller begins with what is still out.
+    fn declare(&mut self, terms: Terms, budgets: Budgets) {
+        self.terms = terms;
+        self.lines.values_mut().for_each(|line| line.budget = None);
+        for (name, budget) in budgets.into_iter().take(BUDGETS_MOST) {
+            self.lines.entry(name).or_default().budget = Some(budget);
+        }
+    }
+
+    fn remove(&mut self, name: &str) {
+        if let Some(seat) = self.roster.seats.remove(name) {
+            self.roster.retire(seat.incarnation);
+        }
+    }
+
+    /// What a holder says of itself: the grants before the one it goes by are over, and what it has in use counts until
+    /// it says otherwise or it must have ended.
+    fn note(&mut self, incarnation: u64, ask: &Ask) {
+        let (now, terms) = (self.roster.now, self.terms);
+        for (name, line) in &mut self.lines {
+            let outlives = line.budget.as_ref().map_or(0, |b| b.outlives_us);
+            let need = ask.needs.get(name).cloned().unwrap_or_default();
+            let Need { in_use, demand } = need;
+            if line.budget.is_none() && !line.holdings.contains_key(&incarnation) {
+                continue;
+            }
+            let holding = line
+                .holdings
+                .entry(incarnation)
+                .or_insert_with(|| Holding { turn: now, ..Holding::default() });
+            holding.grants.retain(|g| g.seq >= ask.acked);
+            (holding.in_use, holding.demand, holding.said) = (in_use, demand.max(in_use), now);
+            holding.in_use_until = match in_use {
+                0 => 0,
+                _ if planted(Fault::FreedEarly) => 0,
+                _ => now.saturating_add(terms.stretched(terms.lease_us.saturating_add(outlives))),
+            };
+        }
+    }
+
+    /// The shares of one budget for those who ask in this entry, in their order.
+    fn share(&mut self, name: &str, seated: &[Seated]) -> Vec<Option<Share>> {
+        let (now, terms) = (self.roster.now, self.terms);
+        let Some(line) = self.lines.get_mut(name) else { return vec![None; seated.len()] };
+        let Some(budget) = line.budget.clone() else { return vec![None; seated.len()] };
+        let lease = terms.stretched(terms.lease_us);
+        // Whoever is silent for a lease wants nothing, but its floor stays set aside while it has a seat.
+        let seats: BTreeSet<u64> = self.roster.seats.values().map(|s| s.incarnation).collect();
+        let base = budget.floor.min(budget.whole / seats.len().max(1) as u64);
+        let rest = budget.whole - base * seats.len() as u64;
+        let active: Vec<u64> =
+            line.holdings.iter().filter(|(i, _)| seats.contains(*i)).map(|(i, _)| *i).collect();
+        let turn = lease.saturating_mul(TURN_LEASES);
+        let claim = |i: &u64| {
+            let h = &line.holdings[i];
+            // Steady needs get steady shares: a little more than is needed is left where it is.
+            let had = h.grants.last().map_or(0, |g| g.units);
+            let steady = h.demand <= had && had <= h.demand + h.demand / 4 + 1;
+            let wants = if steady { had } else { h.demand };
+            let demand = if now < h.said.saturating_add(lease) { wants.saturating_sub(base) } else { 0 };
+            // First whoever has a part and has not had it for long, then whoever has waited longest, then the others.
+            let order = match (h.served, now < h.turn.saturating_add(turn)) {
+                (true, true) => 0,
+                (false, _) => 1 + h.turn,
+                (true, false) => u64::MAX,
+            };
+            Claim { demand, turn: order }
+        };
+        let claims: Vec<Claim> = active.iter().map(claim).collect();
+        let scarce = claims.iter().map(|c| c.demand).fold(0, u64::saturating_add) > rest;
+        let targets: BTreeMap<u64, u64> =
+            active.iter().copied().zip(divide(rest, &claims).into_iter().map(|n| n + base)).collect();
+        let mut counted: u64 = line.counted(now);
+        let mut shares = Vec::with_capacity(seated.len());
+        for Seated { incarnation, ask, .. } in seated {
+            let Some(holding) = line.holdings.get_mut(incarnation) else {
+                shares.push(None);
+                continue;
+            };
+            let mine = holding.counted(now);
+            let room = budget.whole.saturating_sub(counted - mine);
+            let target = targets.get(incarnation).copied().unwrap_or(0);
+            let (mut units, floor) = (target.min(room), budget.floor.min(room));
+            if planted(Fault::RoundingUp) && holding.demand > 0 {
+                units = units.max(1);
+            }
+            let served = units > base;
+            if served != holding.served {
+                (holding.served, holding.turn) = (served, now);
+            } else if served && scarce && now >= holding.turn.saturating_add(turn) {
+                holding.turn = now;
+            }
+            let outlives = if budget.is_rate() { 0 } else { budget.outlives_us };
+            let until = |span: u64| now.saturating_add(terms.stretched(span.saturating_add(outlives)));
+            holding.add(Live {
+                seq: ask.seq,
+                units,
+                until: until(terms.lease_us),
+                floor,
+                floor_until: until(if planted(Fault::FloorTwice) {
+                    terms.lease_us
+                } else {
+                    terms.membership_us
+                }),
+            });
+            counted = counted - mine + holding.counted(now);
+            let part = |units: u64| {
+                let milli =
+                    u128::from(budget.burst) * 1_000 * u128::from(units) / u128::from(budget.whole.max(1));
+                u64::try_from(milli).unwrap_or(u64::MAX)
+            };
+            let (burst, floor_burst) = (part(units), part(floor));
+            shares.push(Some(Share { units, floor, burst, floor_burst, rate: budget.is_rate() }));
+        }
+        shares
+    }
+
+    /// Budgets of which more can be in use than the whole, since it was lowered: with what is counted.
+    pub fn over(&self) -> Vec<(&str, u64, u64)> {
+        let now = self.roster.now;
+        self.lines
+            .iter()
+            .map(|(name, line)| {
+                let whole = line.budget.as_ref().map_or(0, |b| b.whole);
+                (name.as_str(), line.counted(now), whole)
+            })
+            .filter(|(_, counted, whole)| counted > whole)
+            .collect()
+    }
+}
