Members that say their processors are idle are not held back for their latency

A line for each request given up there: 1,081 of 2,352 were writes that waited 1.69 s for a primary whose limit stood at 1.0 for each of two proxies, with 45 ms in the middle against an aim of 180: strained by latency at rest. At fault: on_served held back by latency alone where the member's own word on its use was at hand.

--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -41,7 +41,7 @@
                     let extra = end.latency.0 as f64 / self.means[class].max(1.0) - 1.0;
                     self.link_cost += LINK_COST.0 * (extra.clamp(0.0, LINK_COST.1) - self.link_cost);
                 }
-                if let (Some(used), true) = (end.report.util, m.cold_since.is_some()) {
+                if let (Some(used), true) = (m.note_use(end.report.util), m.cold_since.is_some()) {
                     m.pace = (PACE.0 / used.max(0.1)).clamp(1.0 / PACE.1, PACE.1);
                     self.pace = (self.pace * m.pace.powf(PACE.2)).clamp(1.0 / PACE.3, PACE.3);
                 }
@@ -150,17 +150,17 @@
         self.means[class] += SMOOTH_CLASS * (taken.min(mean * 5.0) - mean);
         let Some(m) = self.members.get_mut(&member) else { return };
         let weight = SMOOTH_MEMBER.max(1.0 - (-((now - m.judged) as f64) / FADE).exp());
-        (m.judged, m.failed) = (now, 0);
-        m.ratio += weight * ((taken / mean).min(10.0) - m.ratio);
+        (m.judged, m.failed, m.ratio) = (now, 0, m.ratio + weight * ((taken / mean).min(10.0) - m.ratio));
         m.strain += weight * ((taken / aim).min(2.0) - m.strain);
-        // Many routers with one in flight each are a queue: strained beyond the noise, it rests.
+        // Many routers with one in flight each are a queue: strained, not idle by its own word, it rests.
+        let busy = m.used.is_none_or(|used| used > PACE.0);
         let strained = STRAIN.0 * (1.0 + STRAIN.2 * (weight / (2.0 - weight)).sqrt());
-        if m.strain > strained {
+        if busy && m.strain > strained {
             rest(m, now, taken);
         } else if m.open.len() as f64 + 1.0 >= m.limit / 2.0 {
             m.limit = (m.limit + step / m.limit.max(1.0)).min(LIMIT_ONE.1);
         }
-        if m.strain > strained * STRAIN.1 {
+        if busy && m.strain > strained * STRAIN.1 {
             self.cut(member);
         }
     }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -62,6 +62,8 @@
     pub(crate) behind_at: Us,
     pub(crate) ratio: f64,
     pub(crate) strain: f64,
+    /// How much of its processors it says are in use, smoothed; none where it doesn't say.
+    pub(crate) used: Option<f64>,
     pub(crate) limit: f64,
     pub(crate) cut_at: Us,
     pub(crate) judged: Us,
@@ -79,6 +81,13 @@
 }
 
 impl Member {
+    /// Notes what it says of its use, and gives it back.
+    pub(crate) fn note_use(&mut self, util: Option<f64>) -> Option<f64> {
+        let smooth = |util: f64| self.used.map_or(util, |used| used + 0.2 * (util - used));
+        self.used = util.map(smooth).or(self.used);
+        util
+    }
+
     /// A probe is new work, too: none while one is out, or the member drains or is gone.
     pub(crate) fn may_be_probed(&self) -> bool {
         self.state == MemberState::InService && !self.probing
