--- /dev/null
+++ b/crates/cluster/src/lib.rs
@@ -0,0 +1,15 @@
+//! Instances of one fleet together: the link between them ([`wire`], [`link`]), the agreed log of the keepers
+//! ([`keeper`], with an existing Raft engine) on its disk ([`store`]), and a proxy's side of it ([`member`]).
+//!
+//! Carries out and decides nothing: what the log says and what may be used is decided by
+//! `linenhill_decisions::{roster, shares}`. Nothing here is reached unless the operator's file asks for it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod clock;
+pub mod keeper;
+pub mod link;
+pub mod member;
+pub mod state;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/crates/cluster/src/member.rs
@@ -0,0 +1,259 @@
+//! A proxy's side of the fleet: it finds the leader by itself, renews what it holds, and answers what may be used now.
+//!
+//! Nothing here holds up a request. What may be used is looked up in [`Holder`] with the clock read at that moment; the
+//! rest runs beside it, and while no keeper is there the proxy lives on what it has until that is over by the clock.
+
+use crate::clock;
+use crate::link::{self, Identity, Incoming};
+use crate::wire::{Body, BudgetStatus, Envelope, EnvelopeCodec, ProxyAsk, Status};
+use futures_util::{SinkExt, StreamExt};
+use linenhill_decisions::shares::holder::{Holder, Leave};
+use linenhill_settings::operator::Operator;
+use log::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+/// Pauses between keepers that can't be reached.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// A request that is not answered for this part of the lease is asked of another keeper.
+const ANSWER_PART: u32 = 4;
+const ANSWER_LEAST: Duration = Duration::from_millis(200);
+/// What others ask of this instance, waiting.
+const INBOX: usize = 64;
+
+type Link = Framed<TcpStream, EnvelopeCodec>;
+
+/// A proxy's part in the fleet.
+pub struct Fleet {
+    holder: RefCell<Holder>,
+    identity: Rc<Identity>,
+    operator: Operator,
+    version: String,
+    leader: RefCell<String>,
+    answered: Cell<u64>,
+    lease: Duration,
+    wake: Notify,
+    changed: Notify,
+}
+
+impl Fleet {
+    /// Of the instance `name`, in an incarnation that chance draws.
+    pub fn new(operator: Operator, name: &str, version: &str) -> Rc<Fleet> {
+        let mut holder = Holder::new(operator.terms.lease_us);
+        for (budget, declared) in operator.budgets.iter().filter(|(_, b)| !b.each) {
+            holder.bind(budget, declared.is_rate());
+        }
+        let incarnation = fastrand::Rng::new().u64(1..u64::MAX);
+        let identity = Identity { cluster: operator.cluster.clone(), name: name.to_string(), incarnation };
+        let lease = Duration::from_micros(operator.terms.lease_us);
+        Rc::new(Fleet {
+            holder: RefCell::new(holder),
+            identity: Rc::new(identity),
+            operator,
+            version: version.to_string(),
+            leader: RefCell::default(),
+            answered: Cell::new(clock::now()),
+            lease,
+            wake: Notify::new(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// The operators' file.
+    pub fn operator(&self) -> &Operator {
+        &self.operator
+    }
+
+    /// Says that a budget of which there is one for each thing binds here for one more of them.
+    pub fn bind(&self, line: &str) {
+        self.holder.borrow_mut().bind(line, false);
+    }
+
+    /// A thing is gone; nothing of its budget may be in use.
+    pub fn unbind(&self, line: &str) {
+        self.holder.borrow_mut().unbind(line);
+    }
+
+    /// Takes a unit of a held budget, to be used at once.
+    pub fn take(&self, line: &str) -> Leave {
+        let leave = self.holder.borrow_mut().take(clock::now(), line);
+        self.short(leave)
+    }
+
+    /// A unit has ended.
+    pub fn give(&self, line: &str) {
+        self.holder.borrow_mut().give(line);
+    }
+
+    /// Spends a unit of a rate.
+    pub fn spend(&self, line: &str) -> Leave {
+        let leave = self.holder.borrow_mut().spend(clock::now(), line);
+        self.short(leave)
+    }
+
+    /// Units in use beyond what may be.
+    pub fn excess(&self, line: &str) -> u64 {
+        self.holder.borrow().excess(clock::now(), line)
+    }
+
+    /// What may be used of a budget changed, or ran out.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn short(&self, leave: Leave) -> Leave {
+        if leave == Leave::No {
+            self.wake.notify_one();
+        }
+        leave
+    }
+
+    /// Renews what this proxy holds, for as long as the program runs or until another one of its name has the seat.
+    pub async fn run(self: Rc<Self>) {
+        let (mut link, mut at, mut pause) = (None::<Link>, 0usize, PAUSE.0);
+        let mut asked = None;
+        let mut held = false;
+        loop {
+            let holds = self.holder.borrow().holds(clock::now());
+            if held != holds {
+                held = holds;
+                self.changed.notify_one();
+                let text = if holds { "holds its shares" } else { "has no lease and lives on its floors" };
+                info!("fleet: {} {text}", self.identity.name);
+            }
+            let Some(due) = self.holder.borrow().due() else { return };
+            let (until, _) = self.holder.borrow().held_until();
+            let Some(open) = &mut link else {
+                match self.next_keeper(&mut at).await {
+                    Some(opened) => {
+                        (link, asked) = (Some(opened), None);
+                        self.holder.borrow_mut().hurry();
+                    }
+                    None => {
+                        sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+                        pause = (pause * 2).min(PAUSE.1);
+                    }
+                }
+                continue;
+            };
+            let patience = (self.lease / ANSWER_PART).max(ANSWER_LEAST);
+            let answer_by = asked.map(|asked: u64| asked + patience.as_micros() as u64);
+            tokio::select! {
+                () = sleep(clock::until(due)) => {
+                    let ask = self.holder.borrow_mut().ask(clock::now());
+                    asked = asked.or(Some(clock::now()));
+                    let (version, zone) = (self.version.clone(), self.operator.zone.clone());
+                    let envelope = self.identity.say(0, Body::Ask(ProxyAsk { ask, version, zone }));
+                    if !matches!(timeout(patience, open.send(envelope)).await, Ok(Ok(()))) {
+                        (link, at) = (None, at + 1);
+                    }
+                }
+                () = self.wake.notified() => {}
+                () = sleep(clock::until(until)), if held => {}
+                () = sleep(clock::until(answer_by.unwrap_or(0))), if answer_by.is_some() => {
+                    (link, at) = (None, at + 1);
+                }
+                came = open.next() => match came {
+                    Some(Ok(envelope)) => match self.on_answer(envelope) {
+                        Answer::Granted => (asked, pause) = (None, PAUSE.0),
+                        Answer::Elsewhere(place) => {
+                            link = None;
+                            at = place.unwrap_or(at + 1);
+                            sleep(pause).await;
+                            pause = (pause * 2).min(PAUSE.1);
+                        }
+                        Answer::Nothing => {}
+                        Answer::Over => return,
+                    },
+                    _ => (link, at) = (None, at + 1),
+                },
+            }
+        }
+    }
+
+    async fn next_keeper(&self, at: &mut usize) -> Option<Link> {
+        let keepers = &self.operator.keepers;
+        let keeper = keepers.get(*at % keepers.len().max(1))?;
+        match link::connect(keeper.address).await {
+            Ok(link) => Some(link),
+            Err(_) => {
+                *at += 1;
+                None
+            }
+        }
+    }
+
+    fn on_answer(&self, envelope: Envelope) -> Answer {
+        match envelope.body {
+            Some(Body::Granted(grant)) => {
+                if !self.holder.borrow_mut().granted(clock::now(), grant) {
+                    return Answer::Nothing;
+                }
+                self.answered.set(clock::now());
+                if *self.leader.borrow() != envelope.from {
+                    info!("fleet: leader {}", envelope.from);
+                    self.leader.replace(envelope.from);
+                }
+                self.changed.notify_one();
+                Answer::Granted
+            }
+            Some(Body::Elsewhere(elsewhere)) => {
+                Answer::Elsewhere(self.operator.keepers.iter().position(|k| k.name == elsewhere.leader))
+            }
+            Some(Body::Refused(refused)) if refused.superseded => {
+                warn!("fleet: another process is {} now; this one gets nothing more", self.identity.name);
+                self.holder.borrow_mut().supersede();
+                Answer::Over
+            }
+            _ => Answer::Nothing,
+        }
+    }
+
+    /// Answers operators who ask this proxy for its state.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let (inbox, mut came) = mpsc::channel::<Incoming>(INBOX);
+        let served = link::serve(listener, self.operator.allow.clone(), self.identity.clone(), inbox);
+        let answer = async {
+            while let Some(Incoming { envelope, reply }) = came.recv().await {
+                if matches!(envelope.body, Some(Body::StatusAsk(_))) {
+                    let _ = reply.try_send(self.identity.say(0, Body::Status(self.status())));
+                }
+            }
+        };
+        tokio::join!(served, answer);
+    }
+
+    /// What is known here.
+    pub fn status(&self) -> Status {
+        let (holder, now) = (self.holder.borrow(), clock::now());
+        let budget = |name: &str| BudgetStatus {
+            name: name.to_string(),
+            whole: 0,
+            counted: holder.limit(now, name).unwrap_or(0),
+            in_use: holder.in_use(name),
+        };
+        let keepers: BTreeMap<String, String> =
+            self.operator.keepers.iter().map(|k| (k.name.clone(), k.address.to_string())).collect();
+        Status {
+            role: "proxy".to_string(),
+            leader: self.leader.borrow().clone(),
+            keepers,
+            budgets: holder.budgets().map(budget).collect(),
+            news_ms: now.saturating_sub(self.answered.get()) / 1_000,
+            ..Status::default()
+        }
+    }
+}
+
+enum Answer {
+    Granted,
+    Elsewhere(Option<usize>),
+    Nothing,
+    Over,
+}
--- a/crates/decisions/src/shares/holder.rs
+++ b/crates/decisions/src/shares/holder.rs
@@ -87,6 +87,13 @@
         self.lines.entry(budget.to_string()).or_default().share.rate = rate;
     }
 
+    /// Forgets a budget of which nothing is in use.
+    pub fn unbind(&mut self, budget: &str) {
+        if self.lines.get(budget).is_some_and(|l| l.in_use == 0) {
+            self.lines.remove(budget);
+        }
+    }
+
     /// When the next request is due; never once another incarnation has taken the seat.
     pub fn due(&self) -> Option<u64> {
         if self.superseded {
@@ -101,6 +108,13 @@
         }))
     }
 
+    /// The next request is due at once: what was asked before went where nobody answers.
+    pub fn hurry(&mut self) {
+        if let Some(last) = &mut self.last_asked {
+            *last = last.saturating_sub(self.lease);
+        }
+    }
+
     /// The next request, to be sent now. What it counts from is this moment, not that of the answer.
     pub fn ask(&mut self, now: u64) -> Ask {
         self.seq += 1;
@@ -120,9 +134,7 @@
             // A fifth more than was needed, so that what grows a little need not wait.
             let demand = peak.saturating_add(peak / 5);
             (line.peak, line.short) = (line.in_use, false);
-            if demand > 0 || line.in_use > 0 {
-                needs.insert(name.clone(), Need { in_use: line.in_use, demand });
-            }
+            needs.insert(name.clone(), Need { in_use: line.in_use, demand });
         }
         Ask { seq: self.seq, acked: self.acked, needs }
     }
--- a/crates/decisions/src/shares/mod.rs
+++ b/crates/decisions/src/shares/mod.rs
@@ -18,6 +18,10 @@
 
 /// Most budgets that can be declared.
 pub const BUDGETS_MOST: usize = 64;
+/// Most lines of the table: budgets, and those of which there is one for each of many things.
+pub const LINES_MOST: usize = 4_096;
+/// Longest name of a line, in bytes.
+pub const LINE_NAME_MOST: usize = 160;
 
 /// A budget: how much the whole fleet may use.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -34,6 +38,9 @@
     /// Held: how long a unit can outlive the lease under which it was begun, in microseconds.
     #[prost(uint64, tag = "4")]
     pub outlives_us: u64,
+    /// There is one of it for each of many things, which holders name behind a slash: `links/m-1`.
+    #[prost(bool, tag = "5")]
+    pub each: bool,
 }
 
 impl Budget {
--- a/crates/decisions/src/shares/table.rs
+++ b/crates/decisions/src/shares/table.rs
@@ -2,7 +2,7 @@
 //! only by the entries of the agreed log; see [`crate::roster`] for what time is here.
 
 use super::divide::{Claim, divide};
-use super::{Ask, BUDGETS_MOST, Budget, Budgets, Grant, Need, Share};
+use super::{Ask, BUDGETS_MOST, Budget, Budgets, Grant, LINE_NAME_MOST, LINES_MOST, Need, Share};
 use crate::planted::{Fault, planted};
 use crate::roster::{Roster, Terms, Unseated};
 use std::collections::{BTreeMap, BTreeSet};
@@ -168,6 +168,17 @@
     /// The budgets by name.
     #[prost(btree_map = "string, message", tag = "3")]
     pub lines: BTreeMap<String, Line>,
+    /// The budgets as they were declared.
+    #[prost(btree_map = "string, message", tag = "4")]
+    pub declared: Budgets,
+}
+
+/// The budget of a line: its own, or that of which there is one for each.
+fn budget(declared: &Budgets, line: &str) -> Option<Budget> {
+    match line.split_once('/') {
+        None => declared.get(line).filter(|b| !b.each).cloned(),
+        Some((name, _)) => declared.get(name).filter(|b| b.each).cloned(),
+    }
 }
 
 /// One entry's request, let in.
@@ -242,7 +253,8 @@
             line.holdings.values_mut().for_each(|h| h.tidy(now));
             line.holdings.retain(|_, h| !h.is_over(now));
         }
-        self.lines.retain(|_, line| line.budget.is_some() || !line.holdings.is_empty());
+        let stays = |line: &Line| line.budget.as_ref().is_some_and(|b| !b.each) || !line.holdings.is_empty();
+        self.lines.retain(|_, line| stays(line));
         self.roster.seats.retain(|_, seat| now < seat.heard.saturating_add(kept));
     }
 
@@ -250,9 +262,11 @@
     /// comes back smaller begins with what is still out.
     fn declare(&mut self, terms: Terms, budgets: Budgets) {
         self.terms = terms;
-        self.lines.values_mut().for_each(|line| line.budget = None);
-        for (name, budget) in budgets.into_iter().take(BUDGETS_MOST) {
-            self.lines.entry(name).or_default().budget = Some(budget);
+        self.declared = budgets.into_iter().take(BUDGETS_MOST).collect();
+        let declared = &self.declared;
+        self.lines.iter_mut().for_each(|(name, line)| line.budget = budget(declared, name));
+        for (name, budget) in self.declared.iter().filter(|(_, b)| !b.each) {
+            self.lines.entry(name.clone()).or_default().budget = Some(budget.clone());
         }
     }
 
@@ -266,11 +280,20 @@
     /// it says otherwise or it must have ended.
     fn note(&mut self, incarnation: u64, ask: &Ask) {
         let (now, terms) = (self.roster.now, self.terms);
+        for name in ask.needs.keys().filter(|name| name.len() <= LINE_NAME_MOST) {
+            let new = !self.lines.contains_key(name) && self.lines.len() < LINES_MOST;
+            if let Some(budget) = budget(&self.declared, name).filter(|_| new) {
+                self.lines.insert(name.clone(), Line { budget: Some(budget), holdings: BTreeMap::new() });
+            }
+        }
         for (name, line) in &mut self.lines {
             let outlives = line.budget.as_ref().map_or(0, |b| b.outlives_us);
             let need = ask.needs.get(name).cloned().unwrap_or_default();
             let Need { in_use, demand } = need;
-            if line.budget.is_none() && !line.holdings.contains_key(&incarnation) {
+            // Of what it doesn't name, and has nothing of, it holds nothing.
+            let named = ask.needs.contains_key(name) || line.budget.as_ref().is_some_and(|b| !b.each);
+            let begins = named && line.budget.is_some();
+            if !begins && !line.holdings.contains_key(&incarnation) {
                 continue;
             }
             let holding = line
--- a/crates/decisions/tests/patience.rs
+++ b/crates/decisions/tests/patience.rs
@@ -122,3 +122,28 @@
     }
     assert_eq!(rig.probes(), 0);
 }
+
+// Guards against a member that is held back for latencies it has at rest, though it says its processors are idle; and
+// against one that says they are busy and is given ever more.
+#[test]
+fn a_member_that_says_it_is_idle_is_not_held_back() {
+    let play = |util: f64| {
+        let mut rig = Rig::new(Settings { fleet_size: 3, ..settings() });
+        let mut most = 0;
+        for _ in 0..50 {
+            // Four at once, each with a latency of nearly half the aim.
+            let ids: Vec<RequestId> = (0..4).map(|_| rig.ask(SESSION, 2_000, None)).collect();
+            let sent: Vec<usize> = ids.iter().map(|id| rig.sends(*id).len()).collect();
+            most = sent.iter().sum();
+            rig.wait(220);
+            for id in &ids {
+                rig.ends(*id, (Outcome::Ok, 220), util, |_| true);
+            }
+            rig.wait(300);
+            rig.out.clear();
+        }
+        most
+    };
+    assert_eq!(play(0.3), 4, "two replicas, two each");
+    assert!(play(0.97) < 4, "strained, and busy by its own word");
+}
--- a/crates/decisions/tests/shares.rs
+++ b/crates/decisions/tests/shares.rs
@@ -15,11 +15,11 @@
 const OUTLIVES: u64 = 400 * MS;
 
 fn held(whole: u64, floor: u64) -> Budget {
-    Budget { whole, floor, burst: 0, outlives_us: OUTLIVES }
+    Budget { whole, floor, burst: 0, outlives_us: OUTLIVES, each: false }
 }
 
 fn budgets(whole: u64, floor: u64) -> Budgets {
-    let rate = Budget { whole: 40_000, floor: 1_000, burst: 8, outlives_us: 0 };
+    let rate = Budget { whole: 40_000, floor: 1_000, burst: 8, outlives_us: 0, each: false };
     [("links".to_string(), held(whole, floor)), ("probes".to_string(), rate)].into()
 }
 
@@ -454,7 +454,7 @@
         led: 0,
         rates: [0; 3],
     };
-    let budget = Budget { whole, floor, burst: 0, outlives_us: 0 };
+    let budget = Budget { whole, floor, burst: 0, outlives_us: 0, each: false };
     first
         .table
         .apply(0, vec![Command::Declare { terms: SMALL, budgets: [("b".to_string(), budget)].into() }]);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod operator;
+
 use linenhill_decisions::api::*;
 use miniserde::Deserialize;
 use miniserde::json::{self, Array, Object, Value};
--- a/examples/toy/peer.rs
+++ b/examples/toy/peer.rs
@@ -5,10 +5,11 @@
 use linenhill::pg::frontend::{Answer, Frontend, FrontendCodec};
 use std::future::Future;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 /// What a member does with a statement.
@@ -58,12 +59,21 @@
 }
 
 async fn serve<F, R>(stream: TcpStream, primary: bool, act: F) -> Option<()>
+where
+    F: Fn(String) -> R,
+    R: Future<Output = Act>,
+{
+    serve_until_idle(stream, primary, act, Duration::from_secs(86_400)).await
+}
+
+/// Plays one connection, until nothing was said on it for `idle`.
+pub async fn serve_until_idle<F, R>(stream: TcpStream, primary: bool, act: F, idle: Duration) -> Option<()>
 where
     F: Fn(String) -> R,
     R: Future<Output = Act>,
 {
     let mut framed = Framed::new(stream, FrontendCodec::default());
-    while let Some(Ok(got)) = framed.next().await {
+    while let Ok(Some(Ok(got))) = timeout(idle, framed.next()).await {
         let mut answers = Vec::new();
         match got {
             Frontend::Startup => answers.push(Answer::Welcome),
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,133 @@
+//! Budgets of the whole fleet where they bind in this proxy. Without the operator's file nothing binds.
+
+pub mod tools;
+
+use crate::api::ClassId;
+use linenhill_cluster::member::Fleet;
+use linenhill_decisions::shares::holder::Leave;
+use linenhill_settings::operator::What;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+struct Bound {
+    fleet: Rc<Fleet>,
+    connections: Vec<String>,
+    attempts: Vec<String>,
+    repeats: Vec<String>,
+    probes: Vec<String>,
+    admissions: BTreeMap<ClassId, Vec<String>>,
+}
+
+/// What this proxy may use of the fleet's budgets; by default nothing binds.
+#[derive(Clone, Default)]
+pub struct Shares(Option<Rc<Bound>>);
+
+/// A unit of held budgets, in use until it is dropped.
+#[derive(Default)]
+pub struct Unit(Option<(Rc<Bound>, Vec<String>)>);
+
+impl Drop for Unit {
+    fn drop(&mut self) {
+        if let Some((bound, lines)) = self.0.take() {
+            lines.iter().for_each(|line| bound.fleet.give(line));
+        }
+    }
+}
+
+impl Shares {
+    /// Those of the operator's file, which names classes as the settings do; else the first class that they don't know.
+    pub fn new(fleet: Rc<Fleet>, classes: &BTreeMap<String, ClassId>) -> Result<Shares, String> {
+        let named = |what: What| -> Vec<String> {
+            let bindings = fleet.operator().bindings.iter();
+            bindings.filter(|b| b.what == what).map(|b| b.budget.clone()).collect()
+        };
+        let mut admissions: BTreeMap<ClassId, Vec<String>> = BTreeMap::new();
+        for binding in fleet.operator().bindings.iter().filter(|b| b.what == What::Admissions) {
+            let class = binding.class.as_deref().unwrap_or_default();
+            let class =
+                classes.get(class).ok_or_else(|| format!("budget {}: no class '{class}'", binding.budget))?;
+            admissions.entry(*class).or_default().push(binding.budget.clone());
+        }
+        let (connections, attempts) = (named(What::Connections), named(What::Attempts));
+        let (repeats, probes) = (named(What::Repeats), named(What::Probes));
+        Ok(Shares(Some(Rc::new(Bound { fleet, connections, attempts, repeats, probes, admissions }))))
+    }
+
+    /// Says which members there are: of each there are budgets of its own.
+    pub fn members<'a>(&self, names: impl Iterator<Item = &'a str>) {
+        let Some(bound) = &self.0 else { return };
+        for name in names {
+            let budgets = bound.connections.iter().chain(&bound.attempts);
+            budgets.for_each(|budget| bound.fleet.bind(&line(budget, name)));
+        }
+    }
+
+    /// A member is gone.
+    pub fn gone(&self, name: &str) {
+        let Some(bound) = &self.0 else { return };
+        let budgets = bound.connections.iter().chain(&bound.attempts);
+        budgets.for_each(|budget| bound.fleet.unbind(&line(budget, name)));
+    }
+
+    fn held(&self, budgets: impl Fn(&Bound) -> &[String], member: &str) -> Option<Unit> {
+        let Some(bound) = &self.0 else { return Some(Unit(None)) };
+        let mut unit = Unit(Some((bound.clone(), Vec::new())));
+        for budget in budgets(bound) {
+            let line = line(budget, member);
+            match bound.fleet.take(&line) {
+                Leave::Yes => unit.0.iter_mut().for_each(|(_, lines)| lines.push(line.clone())),
+                Leave::Unbound => {}
+                Leave::No => return None,
+            }
+        }
+        Some(unit)
+    }
+
+    /// A connection to a member; none where there is no room for one in this proxy's share.
+    pub fn connection(&self, member: &str) -> Option<Unit> {
+        self.held(|b| &b.connections, member)
+    }
+
+    /// An attempt at a member.
+    pub fn attempt(&self, member: &str) -> Option<Unit> {
+        self.held(|b| &b.attempts, member)
+    }
+
+    /// Connections to a member beyond what may be: idle ones are to be ended.
+    pub fn excess(&self, member: &str) -> u64 {
+        let Some(bound) = &self.0 else { return 0 };
+        bound.connections.iter().map(|budget| bound.fleet.excess(&line(budget, member))).max().unwrap_or(0)
+    }
+
+    fn spent(&self, budgets: impl Fn(&Bound) -> &[String]) -> bool {
+        let Some(bound) = &self.0 else { return true };
+        budgets(bound).iter().all(|budget| bound.fleet.spend(budget) != Leave::No)
+    }
+
+    /// A second or later attempt.
+    pub fn repeat(&self) -> bool {
+        self.spent(|b| &b.repeats)
+    }
+
+    /// A probe.
+    pub fn probe(&self) -> bool {
+        self.spent(|b| &b.probes)
+    }
+
+    /// A request of this class is let in.
+    pub fn admission(&self, class: ClassId) -> bool {
+        self.spent(|b| b.admissions.get(&class).map_or(&[][..], Vec::as_slice))
+    }
+
+    /// Returns when shares changed; never where nothing binds.
+    pub async fn changed(&self) {
+        match &self.0 {
+            Some(bound) => bound.fleet.changed().await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn line(budget: &str, member: &str) -> String {
+    format!("{budget}/{member}")
+}
--- /dev/null
+++ b/src/fleet/tools.rs
@@ -0,0 +1,185 @@
+//! What operators ask of a fleet from the command line: checks of their file, its state, and changes.
+
+use crate::cli::Fleet;
+use linenhill_cluster::link::{self, Identity};
+use linenhill_cluster::wire::{Body, Done, Operate, Status, StatusAsk};
+use linenhill_settings::operator::{self, Mistake, Operator};
+use miniserde::Serialize;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Reads an operators' file; else each mistake as a line that names the file.
+pub fn read(path: &Path) -> Result<Operator, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    operator::read(&text).map_err(|mistakes| lines(path, &mistakes))
+}
+
+fn lines(path: &Path, mistakes: &[Mistake]) -> String {
+    let line = |m: &Mistake| format!("{}: {m}", path.display());
+    mistakes.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+#[derive(Serialize)]
+struct MistakeDoc {
+    line: usize,
+    field: String,
+    problem: String,
+}
+
+#[derive(Serialize)]
+struct CheckDoc {
+    file: String,
+    ok: bool,
+    mistakes: Vec<MistakeDoc>,
+}
+
+/// Checks an operators' file: what is to be printed, and whether it is fine.
+pub fn check(path: &Path, json: bool) -> (String, bool) {
+    let file = path.display().to_string();
+    let mistakes = match std::fs::read_to_string(path) {
+        Err(e) => vec![Mistake { line: 0, field: String::new(), problem: e.to_string() }],
+        Ok(text) => operator::read(&text).err().unwrap_or_default(),
+    };
+    let ok = mistakes.is_empty();
+    if !json {
+        return (if ok { format!("{file}: fine") } else { lines(path, &mistakes) }, ok);
+    }
+    let doc = |Mistake { line, field, problem }: Mistake| MistakeDoc { line, field, problem };
+    let mistakes = mistakes.into_iter().map(doc).collect();
+    (miniserde::json::to_string(&CheckDoc { file, ok, mistakes }), ok)
+}
+
+#[derive(Serialize)]
+struct StatusDoc {
+    from: String,
+    role: String,
+    leader: String,
+    term: u64,
+    applied: u64,
+    news_ms: u64,
+    keepers: std::collections::BTreeMap<String, String>,
+    instances: Vec<SeatDoc>,
+    budgets: Vec<BudgetDoc>,
+}
+
+#[derive(Serialize)]
+struct SeatDoc {
+    name: String,
+    incarnation: String,
+    version: String,
+    zone: String,
+    heard_ms: u64,
+    holds: bool,
+}
+
+#[derive(Serialize)]
+struct BudgetDoc {
+    name: String,
+    whole: u64,
+    counted: u64,
+    in_use: u64,
+}
+
+/// Asks a fleet, or tells it something: what is to be printed, or what went wrong.
+pub async fn ask(ask: Fleet) -> Result<String, String> {
+    match ask {
+        Fleet::Status { operator, at, json } => {
+            let operator = read(&operator)?;
+            let (from, status) = status(&operator, at).await?;
+            Ok(if json { miniserde::json::to_string(&doc(from, status)) } else { text(&from, &status) })
+        }
+        Fleet::Remove { name, operator } => {
+            tell(&read(&operator)?, Operate { remove: name, ..Operate::default() }).await
+        }
+        Fleet::Replace { name, operator } => {
+            tell(&read(&operator)?, Operate { replace: name, ..Operate::default() }).await
+        }
+    }
+}
+
+fn identity(operator: &Operator) -> Identity {
+    Identity { cluster: operator.cluster.clone(), name: "operators".to_string(), incarnation: 0 }
+}
+
+/// The state as the leader has it; else as any keeper has it; else as the instance that was named.
+async fn status(operator: &Operator, at: Option<SocketAddr>) -> Result<(String, Status), String> {
+    let (identity, mut other, mut problems) = (identity(operator), None, Vec::new());
+    let keepers = operator.keepers.iter().map(|k| k.address);
+    let all: Vec<SocketAddr> = at.map_or_else(|| keepers.collect(), |at| vec![at]);
+    for address in all {
+        match link::call(address, identity.say(0, Body::StatusAsk(StatusAsk {}))).await {
+            Ok(envelope) => match envelope.body {
+                Some(Body::Status(status)) if status.role == "leader" => return Ok((envelope.from, status)),
+                Some(Body::Status(status)) => other = other.or(Some((envelope.from, status))),
+                _ => problems.push(format!("{address}: an answer that is none")),
+            },
+            Err(problem) => problems.push(format!("{address}: {problem}")),
+        }
+    }
+    other.ok_or_else(|| problems.join("\n"))
+}
+
+async fn tell(operator: &Operator, operate: Operate) -> Result<String, String> {
+    let identity = identity(operator);
+    let mut last = "there is no keeper".to_string();
+    for keeper in &operator.keepers {
+        match link::call(keeper.address, identity.say(0, Body::Operate(operate.clone()))).await {
+            Ok(envelope) => match envelope.body {
+                Some(Body::Done(Done { ok: true, text })) => return Ok(text),
+                Some(Body::Done(Done { text, .. })) => last = text,
+                _ => last = format!("{}: an answer that is none", keeper.name),
+            },
+            Err(problem) => last = format!("{}: {problem}", keeper.name),
+        }
+    }
+    Err(last)
+}
+
+fn doc(from: String, status: Status) -> StatusDoc {
+    let Status { role, leader, term, applied, keepers, seats, budgets, news_ms } = status;
+    let seat = |s: linenhill_cluster::wire::SeatStatus| SeatDoc {
+        name: s.name,
+        incarnation: format!("{:016x}", s.incarnation),
+        version: s.version,
+        zone: s.zone,
+        heard_ms: s.heard_ms,
+        holds: s.holds,
+    };
+    let budget = |b: linenhill_cluster::wire::BudgetStatus| BudgetDoc {
+        name: b.name,
+        whole: b.whole,
+        counted: b.counted,
+        in_use: b.in_use,
+    };
+    let instances = seats.into_iter().map(seat).collect();
+    let budgets = budgets.into_iter().map(budget).collect();
+    StatusDoc { from, role, leader, term, applied, news_ms, keepers, instances, budgets }
+}
+
+fn text(from: &str, status: &Status) -> String {
+    let mut text = format!(
+        "{from} ({}), leader {}, term {}, entry {}, news {} ms old\n",
+        status.role,
+        if status.leader.is_empty() { "unknown" } else { &status.leader },
+        status.term,
+        status.applied,
+        status.news_ms
+    );
+    for (name, address) in &status.keepers {
+        let _ = writeln!(text, "keeper  {name:<16} {address}");
+    }
+    for seat in &status.seats {
+        let lease = if seat.holds { "holds" } else { "no lease" };
+        let _ = writeln!(
+            text,
+            "proxy   {:<16} {:016x} {} {} heard {} ms ago, {lease}",
+            seat.name, seat.incarnation, seat.version, seat.zone, seat.heard_ms
+        );
+    }
+    for budget in &status.budgets {
+        let (counted, whole, used) = (budget.counted, budget.whole, budget.in_use);
+        let _ = writeln!(text, "budget  {:<24} whole {whole}, counted {counted}, in use {used}", budget.name);
+    }
+    text
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod counters;
 pub mod discovery;
 pub mod figures;
+pub mod fleet;
 pub mod members;
 pub mod pg;
 pub mod proxy;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,19 +5,42 @@
 use linenhill::cli::{self, Cli, Command};
 use linenhill::config::{Config, Reading};
 use linenhill::counters::Counters;
+use linenhill::fleet::{Shares, tools};
 use linenhill::proxy::{self, Listeners};
 use linenhill::takeover::inherit;
+use linenhill_cluster::keeper;
+use linenhill_cluster::member::Fleet;
+use linenhill_settings::operator::Operator;
 use log::{error, info, warn};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
     match Cli::parse().command() {
-        Command::Serve => serve_until_told(),
+        Command::Serve { operator } => until_told(|| start(operator)),
+        Command::Keep { operator, name, found } => until_told(|| keep(&operator, &name, found)),
+        Command::Check { file, json } => {
+            let (text, fine) = tools::check(&file, json);
+            println!("{text}");
+            if fine { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Command::Fleet { ask } => match runtime().and_then(|runtime| runtime.block_on(tools::ask(ask))) {
+            Ok(text) => {
+                println!("{}", text.trim_end());
+                ExitCode::SUCCESS
+            }
+            Err(problem) => {
+                eprintln!("{problem}");
+                ExitCode::FAILURE
+            }
+        },
         Command::Completions { shell } => {
             cli::completions(shell, &mut std::io::stdout());
             ExitCode::SUCCESS
@@ -25,24 +48,76 @@
     }
 }
 
-fn serve_until_told() -> ExitCode {
+fn until_told(work: impl FnOnce() -> Result<(), String>) -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match start() {
+    match work() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            error!("{problem}");
+            problem.lines().for_each(|line| error!("{line}"));
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), String> {
-    let config = Config::from_environment(Reading::Start).map_err(|e| e.to_string())?;
+fn runtime() -> Result<Runtime, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("the runtime does not start: {e}"))?.block_on(serve(config))
+    runtime.map_err(|e| format!("the runtime does not start: {e}"))
+}
+
+fn start(operator: Option<PathBuf>) -> Result<(), String> {
+    let config = Config::from_environment(Reading::Start).map_err(|e| e.to_string())?;
+    let operator = operator.map(|path| tools::read(&path)).transpose()?;
+    runtime()?.block_on(serve(config, operator))
+}
+
+/// Keeps what a fleet agrees on, until told to stop or the disk fails.
+fn keep(operator: &Path, name: &str, found: bool) -> Result<(), String> {
+    let operator = tools::read(operator)?;
+    plant()?;
+    let disk = keeper::open(&operator, name, found).map_err(|e| e.to_string())?;
+    let listen = operator.listen.ok_or("the operator's file lacks instance.listen")?;
+    let name = name.to_string();
+    runtime()?.block_on(LocalSet::new().run_until(async move {
+        let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen on {listen}: {e}"))?;
+        let listen = listener.local_addr().map_err(|e| format!("listen on {listen}: {e}"))?;
+        info!("keeper {name} listens on {listen}");
+        let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        tokio::select! {
+            ended = keeper::run(operator, &name, disk, listener) => ended.map_err(|e| e.to_string()),
+            _ = terminate.recv() => {
+                info!("keeper {name} stops");
+                Ok(())
+            }
+        }
+    }))
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+/// Plants the fault that tests choose, in a build made for them.
+fn plant() -> Result<(), String> {
+    #[cfg(feature = "planted-faults")]
+    if let Ok(name) = std::env::var("LINENHILL_PLANTED") {
+        use linenhill_decisions::planted::{Fault, plant};
+        let fault = Fault::ALL.iter().find(|(_, n)| *n == name).ok_or("no such fault")?;
+        plant(Some(fault.0));
+    }
+    Ok(())
+}
+
+async fn serve(config: Config, operator: Option<Operator>) -> Result<(), String> {
+    plant()?;
+    let together = match operator {
+        None => None,
+        Some(operator) => {
+            let fleet = Fleet::new(operator, &config.name, env!("CARGO_PKG_VERSION"));
+            let reached = match fleet.operator().listen {
+                None => None,
+                Some(at) => {
+                    Some(TcpListener::bind(at).await.map_err(|e| format!("instance.listen {at}: {e}"))?)
+                }
+            };
+            Some((Shares::new(fleet.clone(), &config.site.classes)?, fleet, reached))
+        }
+    };
     let counters = Rc::new(Counters::default());
     use SignalKind as Kind;
     let signals = [Kind::terminate(), Kind::interrupt(), Kind::user_defined1(), Kind::hangup()];
@@ -67,7 +142,7 @@
         // Without the folder it goes as well; only an upgrade then starts without what the old version knew.
         std::fs::create_dir_all(dir).unwrap_or_else(|e| warn!("{}: {e}", dir.display()));
     }
-    let listeners = Listeners { clients: listener, operators };
+    let listeners = Listeners { clients: listener, operators, together };
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
--- a/src/members/attempt.rs
+++ b/src/members/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{LoadReport, MemberId, Outcome, Role, Time};
 use crate::close_reason::CloseReason;
+use crate::fleet::Unit;
 use crate::members::link::{Link, Reply, Rest};
 use crate::members::pool::Pool;
 use crate::members::report;
@@ -28,6 +29,8 @@
     pub payload: Payload,
     /// When waiting ends.
     pub until: Instant,
+    /// It is not the request's first attempt.
+    pub repeat: bool,
 }
 
 /// How it ended.
@@ -74,12 +77,15 @@
     let addr = pool.addr(member).ok_or(Outcome::ConnectError)?;
     // Without a descriptor left nothing is known against the member.
     let place = pool.place().ok_or(Outcome::Ignored)?;
-    Link::open(addr, place, pool.connect_timeout()).await
+    let unit = pool.connection(member).ok_or(Outcome::Ignored)?;
+    let mut link = Link::open(addr, place, pool.connect_timeout()).await?;
+    link.hold(unit);
+    Ok(link)
 }
 
 async fn exchange(
     pool: &Pool, member: MemberId, statement: impl FnOnce() -> (Bytes, Bytes), progress: &Progress,
-    written: impl FnOnce(),
+    unit: impl FnOnce() -> Option<Unit>, written: impl FnOnce(),
 ) -> Result<(Reply, Option<Link>), Outcome> {
     // The list may tell of a drain while a connection comes up: what was decided before it is not sent after it.
     let open = || if pool.admits(member) { Ok(()) } else { Err(Outcome::Ignored) };
@@ -87,6 +93,11 @@
     let mut link = link(pool, member).await?;
     open()?;
     *progress.reason.borrow_mut() = Some(link.reason());
+    // The shares are asked at the moment of use: a process that was stopped finds its lease over here.
+    let Some(_unit) = unit() else {
+        pool.give(member, link);
+        return Err(Outcome::Ignored);
+    };
     let (head, tail) = statement();
     link.write(head, tail).await?;
     progress.written.set(true);
@@ -106,13 +117,14 @@
 pub async fn run(
     pool: Pool, errand: Errand, called_off: oneshot::Receiver<()>, written: impl FnOnce(),
 ) -> Ending {
-    let Errand { member, payload, until } = errand;
+    let Errand { member, payload, until, repeat } = errand;
     let progress = Progress::default();
     let statement = || {
         let left = until.saturating_duration_since(Instant::now());
         payload.pieces((left.as_millis() as u64).max(1))
     };
-    let work = exchange(&pool, member, statement, &progress, written);
+    let unit = || if repeat && !pool.shares().repeat() { None } else { pool.attempt(member) };
+    let work = exchange(&pool, member, statement, &progress, unit, written);
     tokio::pin!(work);
     tokio::select! {
         biased;
@@ -166,8 +178,9 @@
 /// Asks a member for its report.
 pub async fn probe(pool: Pool, member: MemberId) -> (Outcome, LoadReport) {
     let progress = Progress::default();
-    let work =
-        exchange(&pool, member, || (Bytes::from_static(b"SHOW health"), Bytes::new()), &progress, || ());
+    let statement = || (Bytes::from_static(b"SHOW health"), Bytes::new());
+    let unit = || pool.shares().probe().then(Unit::default);
+    let work = exchange(&pool, member, statement, &progress, unit, || ());
     let Ok(done) = tokio::time::timeout(pool.connect_timeout(), work).await else {
         return (Outcome::TimedOut, LoadReport::default());
     };
--- a/src/members/link.rs
+++ b/src/members/link.rs
@@ -3,6 +3,7 @@
 use crate::api::{LoadReport, Outcome, Role, Time};
 use crate::budget::Place;
 use crate::close_reason::{CloseReason, Side, log_close};
+use crate::fleet::Unit;
 use crate::members::report;
 use crate::pg::PgError;
 use crate::pg::backend::{Backend, BackendCodec, Command};
@@ -30,6 +31,7 @@
     addr: SocketAddr,
     reason: Rc<Cell<CloseReason>>,
     _place: Place,
+    _unit: Unit,
 }
 
 impl Drop for Link {
@@ -120,8 +122,13 @@
         };
         let _ = stream.set_nodelay(true);
         let reason = Rc::new(Cell::new(CloseReason::ConnectTimeout));
-        let mut link =
-            Link { framed: Framed::new(stream, BackendCodec::default()), addr, reason, _place: place };
+        let mut link = Link {
+            framed: Framed::new(stream, BackendCodec::default()),
+            addr,
+            reason,
+            _place: place,
+            _unit: Unit::default(),
+        };
         match timeout_at(by, link.greet()).await {
             Ok(Ok(())) => {
                 link.reason.set(CloseReason::Cancelled);
@@ -152,6 +159,11 @@
         }
     }
 
+    /// It counts as a unit of a budget until it is closed.
+    pub fn hold(&mut self, unit: Unit) {
+        self._unit = unit;
+    }
+
     /// Where it leads.
     pub fn addr(&self) -> SocketAddr {
         self.addr
--- a/src/members/pool.rs
+++ b/src/members/pool.rs
@@ -5,6 +5,7 @@
 use crate::budget::{Budget, Place};
 use crate::close_reason::CloseReason;
 use crate::counters::Counters;
+use crate::fleet::{Shares, Unit};
 use crate::members::link::Link;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -26,6 +27,7 @@
     idle: Vec<(Link, Instant)>,
     /// Nothing new may reach the member: it drains or is gone.
     closed: bool,
+    name: String,
 }
 
 struct Inner {
@@ -34,6 +36,7 @@
     retire: Duration,
     connect: Duration,
     counters: Rc<Counters>,
+    shares: Shares,
 }
 
 /// All connections to members.
@@ -43,9 +46,16 @@
 impl Pool {
     /// Holds at most `most` connections; members close idle ones after `idle_close`.
     pub fn new(most: usize, idle_close: Duration, connect: Duration, counters: Rc<Counters>) -> Pool {
+        Pool::bound(most, idle_close, connect, counters, Shares::default())
+    }
+
+    /// The same, within this proxy's shares of the fleet's budgets.
+    pub fn bound(
+        most: usize, idle_close: Duration, connect: Duration, counters: Rc<Counters>, shares: Shares,
+    ) -> Pool {
         let retire = idle_close.mul_f64(RETIRE_PART);
         let (slots, budget) = (RefCell::default(), Budget::new(most));
-        Pool(Rc::new(Inner { slots, budget, retire, connect, counters }))
+        Pool(Rc::new(Inner { slots, budget, retire, connect, counters, shares }))
     }
 
     /// Says where a member listens; connections to where it listened before are given back.
@@ -58,17 +68,62 @@
         end(moved, CloseReason::GivenBack);
     }
 
+    /// Says a member's name, by which the fleet knows it.
+    pub fn name(&self, member: MemberId, name: &str) {
+        let mut slots = self.0.slots.borrow_mut();
+        let slot = slots.entry(member).or_default();
+        if slot.name.is_empty() {
+            slot.name = name.to_string();
+            self.0.shares.members(std::iter::once(name));
+        }
+    }
+
+    fn named<T>(&self, member: MemberId, take: impl FnOnce(&Shares, &str) -> Option<T>) -> Option<T> {
+        take(&self.0.shares, &self.0.slots.borrow().get(&member)?.name)
+    }
+
+    /// Room for a connection to a member, and for an attempt there, in this proxy's shares; taken at once.
+    pub fn connection(&self, member: MemberId) -> Option<Unit> {
+        self.named(member, |shares, name| shares.connection(name))
+    }
+
+    /// Room for an attempt at a member.
+    pub fn attempt(&self, member: MemberId) -> Option<Unit> {
+        self.named(member, |shares, name| shares.attempt(name))
+    }
+
+    /// The shares.
+    pub fn shares(&self) -> &Shares {
+        &self.0.shares
+    }
+
+    /// Ends idle connections beyond what the shares allow, as they shrink or run out.
+    pub async fn follow_shares(self) {
+        loop {
+            self.0.shares.changed().await;
+            let mut over = Vec::new();
+            for slot in self.0.slots.borrow_mut().values_mut() {
+                let many = usize::try_from(self.0.shares.excess(&slot.name)).unwrap_or(usize::MAX);
+                let many = many.min(slot.idle.len());
+                over.extend(slot.idle.drain(..many));
+            }
+            end(over, CloseReason::GivenBack);
+        }
+    }
+
     /// Drops the members that are not to be kept, with their idle connections.
     pub fn retain(&self, keep: impl Fn(MemberId) -> bool) {
-        let mut dropped = Vec::new();
+        let (mut dropped, mut gone) = (Vec::new(), Vec::new());
         self.0.slots.borrow_mut().retain(|member, slot| {
             let kept = keep(*member);
             if !kept {
                 dropped.append(&mut slot.idle);
+                gone.push(std::mem::take(&mut slot.name));
             }
             kept
         });
         end(dropped, CloseReason::GivenBack);
+        gone.iter().for_each(|name| self.0.shares.gone(name));
     }
 
     /// Says which members take anything new. What was decided before and is not on its way yet stays here.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -14,6 +14,7 @@
 use crate::discovery::{self, Keeping};
 use crate::door::Bounds;
 use crate::figures::Figures;
+use crate::fleet::Shares;
 use crate::lifecycle::Event;
 use crate::members::pool::Pool;
 use crate::policy::Router;
@@ -26,6 +27,7 @@
 use crate::stages::send::Sender;
 use crate::takeover::words::Words;
 use crate::watching::Watching;
+use linenhill_cluster::member::Fleet;
 use log::info;
 use std::fmt;
 use std::future::Future;
@@ -75,6 +77,8 @@
     pub clients: TcpListener,
     /// For operators, if there is a door for them.
     pub operators: Option<TcpListener>,
+    /// For other instances of a fleet, with what this one may use of its budgets.
+    pub together: Option<(Shares, Rc<Fleet>, Option<TcpListener>)>,
 }
 
 /// Serves until `stop` is ready and all that was taken is answered. `discovery` is where it is, and where it
@@ -98,7 +102,8 @@
     let limits = &site.settings.limits;
     let idle_close = Duration::from_micros(limits.idle_close.0);
     let connect = Duration::from_micros(limits.connect_timeout.0).max(Duration::from_millis(1));
-    let pool = Pool::new(share(MEMBERS_PART), idle_close, connect, counters.clone());
+    let shares = listeners.together.as_ref().map(|(shares, ..)| shares.clone()).unwrap_or_default();
+    let pool = Pool::bound(share(MEMBERS_PART), idle_close, connect, counters.clone(), shares.clone());
     let (inbox, events) = mpsc::unbounded_channel();
     let figures = Rc::new(Figures::new(site.class_names()));
     let book = Book::new(counters.clone(), figures.clone());
@@ -134,14 +139,22 @@
     let (asked, maintenance) = (inbox.clone(), Rc::default());
     let words =
         Words::new(Rc::clone(&maintenance), shared.map(|dir| dir.join("words")), clock, inbox.clone());
-    let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe, maintenance);
+    let route = Route::new(router, clock, events, sender, relay, pool.clone(), names, subscribe, maintenance)
+        .bound(shares);
     let driver = spawn_local(route.run());
     let chance = fastrand::Rng::with_seed(config.seed);
     let (kept, calls) = (heard.clone(), counters.clone());
     spawn_local(discovery::run(discovery, keeping, kept, inbox, calls, within, chance));
     let kept = heard.clone();
     spawn_local(async move { kept.look_after().await });
+    spawn_local(pool.clone().follow_shares());
     spawn_local(pool.look_after());
+    if let Some((_, fleet, reached)) = listeners.together {
+        spawn_local(fleet.clone().run());
+        if let Some(reached) = reached {
+            spawn_local(fleet.serve(reached));
+        }
+    }
     spawn_local(doorway.clone().look_after());
     let course = Course::new(clock);
     spawn_local(course.clone().look_after());
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -9,6 +9,7 @@
 };
 use crate::clock::Clock;
 use crate::discovery::list::{Listing, Names, News, Server};
+use crate::fleet::Shares;
 use crate::maintenance::{Maintenance, Shown};
 use crate::members::pool::Pool;
 use crate::policy::Router;
@@ -24,7 +25,7 @@
 /// Past its deadline by this much, a request is answered whatever the decisions say.
 const OVERDUE: Duration = Duration::from_millis(40);
 
-/// Advice to clients of a group that operators have taken out whole.
+/// Advice to clients of a group that operators have taken out whole, or beyond the fleet's budget.
 const COME_BACK: Span = Span(1_000_000);
 
 /// The stage.
@@ -42,6 +43,7 @@
     listed: BTreeMap<String, (Server, MemberId)>,
     timers: BTreeSet<(Time, u64)>,
     actions: Vec<Action>,
+    shares: Shares,
 }
 
 impl Route {
@@ -65,9 +67,16 @@
             listed,
             timers,
             actions,
+            shares: Shares::default(),
         }
     }
 
+    /// The same, within this proxy's shares of the fleet's budgets.
+    pub fn bound(mut self, shares: Shares) -> Route {
+        self.shares = shares;
+        self
+    }
+
     /// Runs until nobody can send events any more.
     pub async fn run(mut self) {
         loop {
@@ -105,7 +114,7 @@
         match input {
             Input::Taken(taken) => {
                 let Taken { request, payload, deadline, reply } = *taken;
-                if self.maintenance.borrow().closed(request.group) {
+                if self.maintenance.borrow().closed(request.group) || !self.shares.admission(request.class) {
                     let _ = reply.send(Answer::Refused { retry_after: Some(COME_BACK) });
                     return;
                 }
@@ -203,6 +212,7 @@
             self.listed.insert(name.clone(), (server, entry.member));
         }
         self.pool.locate(entry.member, addr);
+        self.pool.name(entry.member, &name);
         let now = self.clock.now();
         match self.maintenance.borrow_mut().listed(now, &name, entry.group, entry.state, entry.started) {
             Shown::Listed(started) => entries.push(ListEntry { started, ..entry }),
--- a/src/stages/send.rs
+++ b/src/stages/send.rs
@@ -60,7 +60,7 @@
             Some(t) => job.deadline.min(started + Duration::from_micros(t.0)),
             None => job.deadline,
         };
-        let errand = Errand { member, payload: job.payload.clone(), until };
+        let errand = Errand { member, payload: job.payload.clone(), until, repeat: number > 0 };
         let (pool, book) = (self.pool.clone(), self.book.clone());
         let counted = book.clone();
         book.sent();
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,498 @@
+//! Several processes of the program that agree on budgets, with faults between them and within: the checker stands at
+//! the members and counts what really arrives; it knows the wholes, and nothing of shares.
+//!
+//! What must never be is asserted always; what must come is waited for, with a long limit and no measured time.
+
+mod harness;
+
+use harness::{Act, Program, encoded, file, peer, query};
+use linenhill::pg::backend::Command as Sent;
+use linenhill_decisions::planted::Fault;
+use linenhill_standins::{Relay, Weather};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, ErrorKind};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+const KEEPERS: usize = 3;
+/// Connections at each member, over all proxies.
+const WHOLE: usize = 6;
+/// A state that must come has come by then, on the slowest machine.
+const LONG: Duration = Duration::from_secs(60);
+/// Members end a connection that is idle for so long.
+const IDLE: Duration = Duration::from_millis(800);
+
+/// A member that counts the connections it has at once, as its kernel sees them.
+#[derive(Default)]
+struct Counted {
+    open: RefCell<BTreeMap<u64, std::net::TcpStream>>,
+    most: Cell<usize>,
+    broken: RefCell<Vec<String>>,
+    served: Cell<u64>,
+}
+
+impl Counted {
+    /// How many connections the other side has not ended.
+    fn now(&self) -> usize {
+        let alive = |stream: &&std::net::TcpStream| match stream.peek(&mut [0]) {
+            Ok(n) => n > 0,
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        };
+        self.open.borrow().values().filter(alive).count()
+    }
+
+    fn note(&self) {
+        let now = self.now();
+        self.most.set(self.most.get().max(now));
+        if now > WHOLE {
+            self.broken.borrow_mut().push(format!("{now} connections at once, of {WHOLE}"));
+        }
+    }
+}
+
+async fn member(listener: TcpListener, counted: Rc<Counted>) {
+    for number in 0.. {
+        let Ok((stream, _)) = listener.accept().await else { return };
+        let std = stream.into_std().expect("a socket");
+        counted.open.borrow_mut().insert(number, std.try_clone().expect("a second handle"));
+        counted.note();
+        let stream = TcpStream::from_std(std).expect("a socket");
+        let counted = counted.clone();
+        spawn_local(async move {
+            let count = counted.clone();
+            let act = move |_: String| {
+                let count = count.clone();
+                async move {
+                    count.served.set(count.served.get() + 1);
+                    sleep(Duration::from_millis(20)).await;
+                    Act::Row("served".into())
+                }
+            };
+            // Idle connections end here: what a stopped process holds can't outlast that.
+            peer::serve_until_idle(stream, true, act, IDLE).await;
+            counted.open.borrow_mut().remove(&number);
+        });
+    }
+}
+
+/// The relays from one instance to each keeper.
+type Ways = Vec<Relay>;
+
+struct Node {
+    name: String,
+    program: Option<Program>,
+    ways: Ways,
+    operator: PathBuf,
+    stopped: bool,
+}
+
+struct World {
+    keepers: Vec<Node>,
+    proxies: Vec<Node>,
+    config: PathBuf,
+    counted: Rc<Counted>,
+    folder: PathBuf,
+    planted: Option<&'static str>,
+    history: Vec<String>,
+    /// Where each proxy serves now.
+    serving: Rc<RefCell<Vec<Option<SocketAddr>>>>,
+}
+
+async fn ways() -> Ways {
+    let mut ways = Vec::new();
+    for _ in 0..KEEPERS {
+        ways.push(Relay::start().await.expect("a relay"));
+    }
+    ways
+}
+
+fn operator(name: &str, ways: &Ways, store: &str) -> String {
+    let keepers: String = ways
+        .iter()
+        .enumerate()
+        .map(|(i, w)| format!("keeper {{ name: \"k{i}\" address: \"{}\" }}\n", w.at))
+        .collect();
+    format!(
+        "cluster: \"test\"\ninstance {{ listen: \"127.0.0.1:0\" zone: \"{name}\" store: \"{store}\" }}\n{keepers}\
+         terms {{ lease_ms: 1000 membership_ms: 4000 drift_ppm: 20000 }}\n\
+         budget {{ name: \"connections\" what: CONNECTIONS held {{ units: {WHOLE} outlives_ms: 2500 }} floor: 1 }}\n"
+    )
+}
+
+/// Starts a process and reads its log, up to the line that says where it listens.
+fn start(mut command: Command, config: PathBuf) -> Option<Program> {
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("the program");
+    let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+    let said = Arc::new(Mutex::new(String::new()));
+    let program = Program::of(child, config, said.clone());
+    while !said.lock().expect("the log").contains(" listens on ") {
+        let mut line = String::new();
+        if !log.read_line(&mut line).is_ok_and(|n| n > 0) {
+            return None;
+        }
+        said.lock().expect("the log").push_str(&line);
+    }
+    std::thread::spawn(move || {
+        for line in log.lines().map_while(Result::ok) {
+            said.lock().expect("the log").push_str(&(line + "\n"));
+        }
+    });
+    Some(program)
+}
+
+fn binary() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_linenhill"));
+    command.env("RUST_LOG", "info").env_remove("LB_DISCOVERY").env_remove("LB_NAME");
+    command
+}
+
+impl World {
+    async fn new(label: &str, proxies: usize, planted: Option<&'static str>) -> World {
+        let folder =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{label}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let counted = Rc::new(Counted::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address").to_string();
+        spawn_local(member(listener, counted.clone()));
+        let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let told = discovery.local_addr().expect("an address").to_string();
+        spawn_local(peer::discovery(discovery, r#"{"version":2,"full":false,"servers":[]}"#.to_string()));
+        // One member, the primary: all work goes there.
+        let config = harness::CONFIG.replace("127.0.0.1:8500", &told).replace("127.0.0.1:7001", &at);
+        let from = config.find("  {\"id\": \"m-2\"").expect("the second member");
+        let to = config.find("]},\n \"settings\"").expect("the end of the list");
+        let one = config[..from].trim_end().trim_end_matches(',').to_string() + &config[to..];
+        let one = one.replace("\"idleClose\": 15000000", "\"idleClose\": 800000");
+        let config = file(&format!("{label}.json"), &one);
+        let mut world = World {
+            keepers: Vec::new(),
+            proxies: Vec::new(),
+            config,
+            counted,
+            folder,
+            planted,
+            history: Vec::new(),
+            serving: Rc::new(RefCell::new(vec![None; proxies])),
+        };
+        for i in 0..KEEPERS {
+            let (name, ways) = (format!("k{i}"), ways().await);
+            let store = world.folder.join(&name);
+            let text = operator(&name, &ways, &store.display().to_string());
+            let operator = file(&format!("{label}-{name}.textproto"), &text);
+            world.keepers.push(Node { name, program: None, ways, operator, stopped: false });
+        }
+        (0..KEEPERS).for_each(|i| world.start_keeper(i, i == 0));
+        for i in 0..proxies {
+            let (name, ways) = (format!("p{i}"), ways().await);
+            let operator = file(&format!("{label}-{name}.textproto"), &operator(&name, &ways, ""));
+            world.proxies.push(Node { name, program: None, ways, operator, stopped: false });
+            world.lead();
+            world.start_proxy(i);
+        }
+        world
+    }
+
+    /// All relays lead to where the keepers listen now.
+    fn lead(&self) {
+        for (k, keeper) in self.keepers.iter().enumerate() {
+            let Some(at) = keeper.program.as_ref().map(|p| p.address("listens on ")) else { continue };
+            self.keepers.iter().chain(&self.proxies).for_each(|node| node.ways[k].lead_to(at));
+        }
+    }
+
+    fn start_keeper(&mut self, i: usize, found: bool) {
+        let keeper = &mut self.keepers[i];
+        let mut command = binary();
+        command.args(["keep", "--name", &keeper.name, "--operator"]).arg(&keeper.operator);
+        if found {
+            command.arg("--found");
+        }
+        self.planted.iter().for_each(|name| _ = command.env("LINENHILL_PLANTED", name));
+        keeper.stopped = false;
+        keeper.program = start(command, keeper.operator.clone());
+        self.lead();
+    }
+
+    fn start_proxy(&mut self, i: usize) {
+        let proxy = &mut self.proxies[i];
+        let mut command = binary();
+        command.args(["serve", "--operator"]).arg(&proxy.operator).env("LB_CONFIG", &self.config);
+        command.env("LB_LISTEN", "127.0.0.1:0").env("LB_NAME", &proxy.name);
+        self.planted.iter().for_each(|name| _ = command.env("LINENHILL_PLANTED", name));
+        proxy.stopped = false;
+        proxy.program = start(command, self.config.clone());
+        let at = proxy.program.as_ref().expect("a proxy starts").address(" listens on ");
+        self.serving.borrow_mut()[i] = Some(at);
+    }
+
+    /// Clients that ask at every proxy, `many` at each at a time.
+    fn clients(&self, many: usize) {
+        for i in 0..self.proxies.len() {
+            for n in 0..many {
+                let serving = self.serving.clone();
+                spawn_local(async move {
+                    for round in 0u64.. {
+                        let at = serving.borrow()[i];
+                        let id = format!("{i}x{n}x{round}");
+                        if let Some(at) = at {
+                            let _ = timeout(Duration::from_secs(2), ask(at, &id)).await;
+                        }
+                        sleep(Duration::from_millis(5)).await;
+                    }
+                });
+            }
+        }
+    }
+
+    fn nodes(&mut self) -> impl Iterator<Item = &mut Node> {
+        self.keepers.iter_mut().chain(&mut self.proxies)
+    }
+
+    async fn fault(&mut self, rng: &mut fastrand::Rng) {
+        let (keeper, proxy) = (rng.usize(0..KEEPERS), rng.usize(0..self.proxies.len()));
+        let all = KEEPERS + self.proxies.len();
+        let (node, way) = (rng.usize(0..all), rng.usize(0..KEEPERS));
+        let what = rng.u8(0..12);
+        let said = match what {
+            0 => {
+                self.proxies[proxy].program = None;
+                self.start_proxy(proxy);
+                format!("p{proxy} killed and started")
+            }
+            1 => {
+                self.keepers[keeper].program = None;
+                self.start_keeper(keeper, false);
+                format!("k{keeper} killed and started")
+            }
+            2 | 3 => {
+                let node = &mut self.proxies[proxy];
+                let stops = !std::mem::replace(&mut node.stopped, true);
+                node.program.as_ref().filter(|_| stops).iter().for_each(|p| p.signal("-STOP"));
+                format!("p{proxy} stopped")
+            }
+            4 => {
+                let node = &mut self.keepers[keeper];
+                let stops = !std::mem::replace(&mut node.stopped, true);
+                node.program.as_ref().filter(|_| stops).iter().for_each(|p| p.signal("-STOP"));
+                format!("k{keeper} stopped")
+            }
+            5 | 6 => {
+                let node = self.nodes().nth(node).expect("a node");
+                let (to, from) =
+                    [(true, true), (true, false), (false, true)][usize::from(what) % 2 + way % 2];
+                node.ways[way].weather(|w| (w.held_to, w.held_from) = (to, from));
+                format!("{} to k{way} held {to} {from}", node.name)
+            }
+            7 => {
+                let node = self.nodes().nth(node).expect("a node");
+                node.ways[way].weather(|w| w.resets += 1);
+                format!("{} to k{way} reset", node.name)
+            }
+            8 => {
+                let node = self.nodes().nth(node).expect("a node");
+                node.ways[way].weather(|w| w.delay = Duration::from_millis(300));
+                format!("{} to k{way} slow", node.name)
+            }
+            _ => {
+                self.heal();
+                "all is well".to_string()
+            }
+        };
+        self.history.push(said);
+        sleep(Duration::from_millis(rng.u64(50..1_500))).await;
+    }
+
+    fn heal(&mut self) {
+        for node in self.nodes() {
+            if std::mem::take(&mut node.stopped) {
+                node.program.iter().for_each(|p| p.signal("-CONT"));
+            }
+            for way in &node.ways {
+                way.weather(|w| *w = Weather { resets: w.resets, ..Weather::FINE });
+            }
+        }
+    }
+
+    /// Waits until each proxy holds a lease, as the leader says.
+    async fn settled(&self) {
+        let wait = async {
+            loop {
+                let names: Vec<String> = self.proxies.iter().map(|p| p.name.clone()).collect();
+                if let Some(status) = self.status().await
+                    && names.iter().all(|n| status.contains(&format!("\"name\":\"{n}\"")))
+                    && status.matches("\"holds\":true").count() >= names.len()
+                {
+                    return;
+                }
+                sleep(Duration::from_millis(100)).await;
+            }
+        };
+        timeout(LONG, wait).await.unwrap_or_else(|_| panic!("{:?} never settled", self.history));
+    }
+
+    /// What `fleet status` prints, asked as operators do.
+    async fn status(&self) -> Option<String> {
+        let operator = self.proxies.first()?.operator.clone();
+        let done = tokio::task::spawn_blocking(move || {
+            binary().args(["fleet", "status", "--json", "--operator"]).arg(operator).output()
+        });
+        let done = done.await.ok()?.ok()?;
+        done.status.success().then(|| String::from_utf8_lossy(&done.stdout).into_owned())
+    }
+
+    fn check(&self) -> Result<(), String> {
+        match self.counted.broken.borrow().first() {
+            None => Ok(()),
+            Some(broken) => Err(format!("{broken}, after {:?}", self.history)),
+        }
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.heal();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn ask(at: SocketAddr, id: &str) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(at).await?;
+    let write = format!(
+        "/* id={id},c=order,d=900,k={id},cluster=1 */ INSERT INTO state VALUES ('{id}', 'x') RETURNING val"
+    );
+    stream.write_all(&encoded(&[Sent::Startup, query(&write)])).await?;
+    let mut got = Vec::new();
+    // Welcome, then the answer: two readies.
+    while got.windows(6).filter(|w| *w == b"Z\0\0\0\x05I").count() < 2 {
+        let mut piece = [0; 1024];
+        match stream.read(&mut piece).await? {
+            0 => break,
+            n => got.extend_from_slice(&piece[..n]),
+        }
+    }
+    Ok(())
+}
+
+fn play<T>(work: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(LocalSet::new().run_until(work))
+}
+
+/// A sequence of faults by seed, with clients throughout; then all is well, and must come to rest.
+async fn sequence(
+    seed: u64, proxies: usize, faults: usize, planted: Option<&'static str>,
+) -> Result<(usize, u64), String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let label = format!("fleet-{seed}-{}", planted.unwrap_or("sound"));
+    let mut world = World::new(&label, proxies, planted).await;
+    world.clients(WHOLE);
+    world.settled().await;
+    for _ in 0..faults {
+        world.fault(&mut rng).await;
+        world.check().map_err(|e| format!("seed {seed}: {e}"))?;
+    }
+    world.heal();
+    world.settled().await;
+    world.check().map_err(|e| format!("seed {seed}: {e}"))?;
+    Ok((world.counted.most.get(), world.counted.served.get()))
+}
+
+/// How much is played: little for every landing, more for the proof.
+fn sequences() -> (u64, usize, usize) {
+    let count = |name: &str| std::env::var(name).ok().and_then(|n| n.parse().ok());
+    match count("LINENHILL_SEQUENCES") {
+        Some(many) => (many, 8, 14),
+        None => (2, 3, 6),
+    }
+}
+
+// Guards against connections at a member beyond the whole, whatever happens to the processes and between them; and
+// against a fleet that does not come to rest, or does not use what it has.
+#[test]
+fn members_never_see_more_than_the_whole() {
+    let (many, proxies, faults) = sequences();
+    let from = std::env::var("LINENHILL_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    let (mut most, mut served) = (0, 0);
+    for seed in from..from + many {
+        let (seen, done) = play(sequence(seed, proxies, faults, None)).unwrap_or_else(|e| panic!("{e}"));
+        println!("seed {seed}: at most {seen} of {WHOLE} connections, {done} requests served");
+        (most, served) = (most.max(seen), served + done);
+    }
+    assert!(most >= WHOLE - 1 && served > 0, "at most {most} of {WHOLE} were in use, {served} served");
+}
+
+// Guards against a checker that can't fail: a faulty division is seen at the members.
+#[cfg(feature = "planted-faults")]
+#[test]
+fn a_planted_fault_is_seen_at_the_members() {
+    let (many, ..) = sequences();
+    let (_, name) = Fault::ALL.into_iter().find(|(f, _)| *f == Fault::OldIncarnation).expect("it");
+    let found = (1..=many.max(6)).any(|seed| play(sequence(seed, 3, 10, Some(name))).is_err());
+    assert!(found, "{name} was not caught");
+}
+
+#[test]
+fn planted_faults_have_distinct_names() {
+    let names: std::collections::BTreeSet<&str> = Fault::ALL.iter().map(|(_, n)| *n).collect();
+    assert_eq!(names.len(), Fault::ALL.len());
+}
+
+// Guards against a keeper that lost its disk and votes under its old number, and against one that can't be replaced.
+#[test]
+fn a_keeper_without_its_disk_is_a_stranger_until_it_is_replaced() {
+    play(async {
+        let mut world = World::new("fleet-disk", 1, None).await;
+        world.settled().await;
+        let lost = world.keepers.len() - 1;
+        world.keepers[lost].program = None;
+        let _ = std::fs::remove_dir_all(world.folder.join(format!("k{lost}")));
+        world.start_keeper(lost, false);
+        let says = world.keepers[lost].program.as_ref().expect("a keeper").says("has another store");
+        timeout(LONG, says).await.expect("it is told so");
+        let replace = || {
+            let operator = world.keepers[0].operator.clone();
+            tokio::task::spawn_blocking(move || {
+                binary()
+                    .args(["fleet", "replace", "k2", "--operator"])
+                    .arg(operator)
+                    .output()
+                    .expect("the program")
+            })
+        };
+        let done = async {
+            while !replace().await.expect("done").status.success() {
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        timeout(LONG, done).await.expect("it is replaced");
+        let says = world.keepers[lost].program.as_ref().expect("a keeper").says("lets this keeper in");
+        timeout(LONG, says).await.expect("it is let in");
+        world.settled().await;
+    });
+}
+
+// Guards against an instance of another fleet, or from outside the allowed prefixes, that is let in.
+#[test]
+fn strangers_are_refused_with_one_line() {
+    play(async {
+        let world = World::new("fleet-strangers", 1, None).await;
+        let text = std::fs::read_to_string(&world.proxies[0].operator).expect("a file");
+        let other = file("fleet-other.textproto", &text.replace("cluster: \"test\"", "cluster: \"other\""));
+        let done = tokio::task::spawn_blocking(move || {
+            binary().args(["fleet", "status", "--operator"]).arg(other).output().expect("the program")
+        });
+        assert!(!done.await.expect("done").status.success());
+        let told = world.keepers[0].program.as_ref().expect("a keeper").says("it is of the fleet 'other'");
+        timeout(LONG, told).await.expect("a line");
+    });
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -40,6 +40,11 @@
 }
 
 impl Program {
+    /// A process that was started elsewhere.
+    pub fn of(child: Child, config: std::path::PathBuf, log: Arc<Mutex<String>>) -> Program {
+        Program { child: RefCell::new(child), config, log }
+    }
+
     /// The address that the log tells after these words.
     pub fn address(&self, words: &str) -> SocketAddr {
         let log = self.log.lock().expect("the log").clone();
