--- a/tests/pushed.rs
+++ b/tests/pushed.rs
@@ -4,6 +4,8 @@
 mod harness;
 
 use harness::{Act, Program, answer, client, file, peer, program, start};
+use linenhill::api::{Discovery, Span};
+use linenhill::config::{Config, Reading, Variables};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,6 +15,40 @@
 const READ: &str = "/* id=a1,c=any,d=60000,cluster=1 */ SELECT val FROM state WHERE uid = 'aa'";
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// What a configuration comes to: the grace of drains, or the line that names what is wrong.
+fn read(config: &str) -> Result<Span, String> {
+    let read =
+        Config::parse(config, std::path::Path::new("pushed.json"), Variables::default(), Reading::Start);
+    let config = read.map_err(|e| e.to_string())?;
+    assert_eq!(config.site.settings.discovery, Discovery::Pushed);
+    Ok(config.site.settings.rules.drain_grace)
+}
+
+// Guards against a panic or a silent guess on settings that only the other kind of site has, or lacks.
+#[test]
+fn what_the_other_kind_of_site_lacks_has_its_default_and_what_is_wrong_is_named() {
+    assert_eq!(read(PUSHED), Ok(Span(250_000)));
+    assert_eq!(read(&PUSHED.replace("250000, \"fall\"", "90000, \"fall\"")), Ok(Span(90_000)));
+    assert_eq!(read(&PUSHED.replace("\"drainGrace\": 250000, ", "")), Ok(Span(250_000)), "the default");
+    assert_eq!(read(&PUSHED.replace("\"zones\": [\"a\", \"b\", \"c\"], ", "")), Ok(Span(250_000)));
+    let reports = "\"report\": {\"how\": \"probe\", \"names\": [\"x0\", \"x1\", \"queue\"]},";
+    assert_eq!(read(&PUSHED.replace(reports, "")), Ok(Span(250_000)));
+    for (right, wrong, field) in [
+        ("\"pushed\"", "\"polled\"", "settings.discovery"),
+        ("\"drainGrace\": 250000", "\"drainGrace\": -1", "settings.rules.drainGrace"),
+        ("\"drainGrace\": 250000", "\"drainGrace\": \"soon\"", "settings.rules.drainGrace"),
+        ("non_idempotent", "unsafe", "settings.classes[3].semantics"),
+        ("\"trailing\"", "\"sometimes\"", "settings.specifics.showsRole"),
+        ("\"recovery\": \"off\"", "\"recovery\": \"maybe\"", "known.servers[0].recovery"),
+        ("\"zone\": \"a\", \"zones\"", "\"zones\"", "settings.zone"),
+    ] {
+        let text = PUSHED.replacen(right, wrong, 1);
+        assert_ne!(text, PUSHED, "{right}");
+        let said = read(&text).expect_err(field);
+        assert!(said.contains(&format!("'{field}'")) && said.lines().count() == 1, "{field}: {said}");
+    }
+}
+
 async fn bind() -> (TcpListener, String) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let at = listener.local_addr().expect("an address").to_string();
