--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -436,9 +436,13 @@
 #[test]
 fn a_planted_fault_is_seen_at_the_members() {
     let (many, ..) = sequences();
-    let (_, name) = Fault::ALL.into_iter().find(|(f, _)| *f == Fault::OldIncarnation).expect("it");
-    let found = (1..=many.max(6)).any(|seed| play(sequence(seed, 3, 10, Some(name))).is_err());
-    assert!(found, "{name} was not caught");
+    let named = |fault: Fault| Fault::ALL.into_iter().find(|(f, _)| *f == fault).map(|(_, name)| name);
+    for fault in [Fault::FreedEarly, Fault::RoundingUp] {
+        let name = named(fault).expect("its name");
+        let found = (1..=many.max(6)).find_map(|seed| play(sequence(seed, 8, 10, Some(name))).err());
+        println!("{name}: {found:?}");
+        assert!(found.is_some(), "{name} was not caught");
+    }
 }
 
 #[test]
