--- a/tests/pushed.rs
+++ b/tests/pushed.rs
@@ -96,6 +96,7 @@
         let (agent, at) = bind().await;
         let config = config.replace("127.0.0.1:8500", &at).replace("\"slo\": 800000", "\"slo\": 30000000");
         let config = config.replace("\"connectTimeout\": 250000", "\"connectTimeout\": 5000000");
+        let config = config.replace("\"seed\"", "\"admin\": \"127.0.0.1:0\", \"seed\"");
         let path = file(&format!("{name}.json"), &config);
         let program = Rc::new(start(program(&path), path));
         let members = members.try_into().unwrap_or_else(|_| panic!("three members"));
@@ -181,3 +182,28 @@
         }
     });
 }
+
+// Guards against a proxy that stands by, or stops with requests still out, and hears of no drain meanwhile.
+#[test]
+fn the_watch_is_kept_in_standby_and_back_in_service() {
+    play("standby", |_, program, agent, [first, ..]| async move {
+        let (mut call, _) = watched(&agent).await;
+        tell(&mut call, true, &list(5, "m-1", &first, "in_service")).await;
+        program.says("list version 5").await;
+        let operators = program.address("operators call at ");
+        for (path, said, version) in
+            [("/standby", "operators: draining", 6), ("/active", "operators: serving", 7)]
+        {
+            let mut door = TcpStream::connect(operators).await.expect("the operators' door");
+            let post = format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+            door.write_all(post.as_bytes()).await.expect("written");
+            program.says(said).await;
+            drop(std::mem::replace(&mut call, TcpStream::connect(operators).await.expect("a connection")));
+            let (again, from) = watched(&agent).await;
+            assert_eq!(from, version - 1);
+            call = again;
+            tell(&mut call, true, &list(version, "m-1", &first, "in_service")).await;
+            program.says(&format!("list version {version}")).await;
+        }
+    });
+}
