A busy proxy without a lease gives its connections up; bounds on what keepers take

Seen, reading the change once more: a connection that comes back from its attempt was used on and on after its lease, since only idle ones were ended, and only when a share changed, so a busy proxy that no keeper reached outlived its lease for ever. At fault: Pool::give and Pool::take, which never asked the shares. Now a connection beyond the share is not kept and not used again. A test cuts a busy proxy from all keepers and counts at the member.

--- a/crates/cluster/src/keeper.rs
+++ b/crates/cluster/src/keeper.rs
@@ -42,8 +42,14 @@
 const BATCH: usize = 512;
 /// Entries after which the state takes the log's place.
 const COMPACT_AFTER: u64 = 4_096;
-/// Requests that wait for their entry.
+/// Requests that wait for their entry, and for how long: an entry may be lost with its leader.
 const WAITING: usize = 16_384;
+const WAIT_US: u64 = 5_000_000;
+/// Longest request, and the longest entry but for one request more, in bytes: frames must carry it.
+const ASK_MOST: usize = 256 << 10;
+const ENTRY_MOST: usize = 1 << 20;
+/// Others that are talked to.
+const PEERS_MOST: usize = 16;
 /// How often a newcomer asks to be a keeper.
 const JOIN_EVERY: Duration = Duration::from_millis(500);
 
@@ -117,6 +123,7 @@
 struct Waiting {
     incarnation: u64,
     seq: u64,
+    since: u64,
     reply: mpsc::Sender<Envelope>,
 }
 
@@ -131,7 +138,7 @@
     /// Of this term as leader, up to when its clock has been counted.
     counted: Option<(u64, u64)>,
     /// Commands for the next entry.
-    commands: Vec<CommandDoc>,
+    commands: VecDeque<CommandDoc>,
     waiting: VecDeque<Waiting>,
     /// Whether the operator's file has been compared with what is agreed, in this term.
     declared: Option<u64>,
@@ -145,8 +152,12 @@
     operator: Operator, name: &str, disk: Disk, listener: TcpListener,
 ) -> Result<(), KeeperError> {
     let id = disk.identity().id;
-    let identity =
-        Rc::new(Identity { cluster: operator.cluster.clone(), name: name.to_string(), incarnation: id });
+    let identity = Rc::new(Identity {
+        cluster: operator.cluster.clone(),
+        name: name.to_string(),
+        incarnation: id,
+        keepers: operator.keepers.iter().map(|k| k.name.clone()).collect(),
+    });
     let (inbox, mut came) = mpsc::channel(INBOX);
     spawn_local(link::serve(listener, operator.allow.clone(), identity.clone(), inbox));
     let mut keeper = Keeper::start(operator, identity, disk)?;
@@ -208,7 +219,7 @@
             compacted: applied,
             peers: BTreeMap::new(),
             counted: None,
-            commands: Vec::new(),
+            commands: VecDeque::new(),
             waiting: VecDeque::new(),
             declared: None,
             news: clock::now(),
@@ -296,9 +307,13 @@
             let (terms, budgets) = (self.operator.terms, self.operator.budgets.clone());
             if self.state.table.terms != terms || self.state.table.declared != budgets {
                 info!("fleet: budgets are declared as this file has them");
-                self.commands.push(doc(Which::Declare(DeclareDoc { terms, budgets })));
+                self.commands.push_back(doc(Which::Declare(DeclareDoc { terms, budgets })));
             }
         }
+        let late = |w: &Waiting| clock::now() > w.since + WAIT_US;
+        while self.waiting.front().is_some_and(late) {
+            self.waiting.pop_front();
+        }
         self.ticks += 1;
         if self.leads() && self.ticks.is_multiple_of(SNAPSHOT_TICKS) {
             // The engine waits for the end of a snapshot, which may have been lost on its way.
@@ -329,7 +344,8 @@
                     return;
                 }
                 let named = self.operator.keepers.iter().find(|k| k.name == from).map(|k| k.address);
-                if let (Some(address), false) = (named, self.peers.contains_key(&incarnation)) {
+                let room = self.state.keepers.is_empty() && self.peers.len() < PEERS_MOST;
+                if let (Some(address), false) = (named, self.peers.contains_key(&incarnation) || !room) {
                     self.peers.insert(incarnation, Peer::start(address, self.identity.clone()));
                 }
                 if let Ok(message) = Message::parse_from_bytes(&bytes)
@@ -359,9 +375,15 @@
             let _ = reply.try_send(self.identity.say(0, Body::Elsewhere(elsewhere)));
             return;
         }
-        let ProxyAsk { ask, version, zone } = ask;
-        self.waiting.push_back(Waiting { incarnation, seq: ask.seq, reply });
-        self.commands.push(doc(Which::Ask(AskDoc { name, incarnation, version, zone, ask })));
+        let seq = ask.ask.seq;
+        if ask.encoded_len() > ASK_MOST {
+            let reason = format!("a request of over {ASK_MOST} bytes");
+            let refused = Refused { seq, superseded: false, reason };
+            let _ = reply.try_send(self.identity.say(0, Body::Refused(refused)));
+            return;
+        }
+        self.waiting.push_back(Waiting { incarnation, seq, since: clock::now(), reply });
+        self.commands.push_back(doc(Which::Ask(AskDoc { name, incarnation, ask })));
     }
 
     fn on_join(&mut self, name: &str, id: u64, join: &Join, reply: &mpsc::Sender<Envelope>) {
@@ -397,7 +419,7 @@
             return (false, format!("the leader is {}", self.leader()));
         }
         if !operate.remove.is_empty() {
-            self.commands.push(doc(Which::Remove(operate.remove.clone())));
+            self.commands.push_back(doc(Which::Remove(operate.remove.clone())));
             return (true, format!("{} is taken off; what it holds ends by itself", operate.remove));
         }
         match self.state.keeper(&operate.replace) {
@@ -434,12 +456,23 @@
         if self.commands.is_empty() && now < from + COUNT_EVERY_US {
             return;
         }
-        let entry =
-            Entry { elapsed_us: now.saturating_sub(from), commands: std::mem::take(&mut self.commands) };
-        match self.node.propose(Vec::new(), entry.encode_to_vec()) {
-            Ok(()) => self.counted = Some((term, now)),
-            // Too much is under way: what was asked for is asked for again.
-            Err(problem) => info!("fleet: an entry was not taken: {problem}"),
+        let mut elapsed_us = now.saturating_sub(from);
+        loop {
+            let (mut commands, mut size) = (Vec::new(), 0);
+            while size < ENTRY_MOST
+                && let Some(command) = self.commands.pop_front()
+            {
+                size += command.encoded_len();
+                commands.push(command);
+            }
+            match self.node.propose(Vec::new(), Entry { elapsed_us, commands }.encode_to_vec()) {
+                Ok(()) => (self.counted, elapsed_us) = (Some((term, now)), 0),
+                // Too much is under way: what was asked for is asked for again.
+                Err(problem) => info!("fleet: an entry was not taken: {problem}"),
+            }
+            if self.commands.is_empty() {
+                return;
+            }
         }
     }
 
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -37,6 +37,8 @@
     pub name: String,
     /// Its incarnation, or its number as a keeper.
     pub incarnation: u64,
+    /// The keepers' names: only they send long frames.
+    pub keepers: Vec<String>,
 }
 
 impl Identity {
@@ -97,7 +99,7 @@
     stream: TcpStream, identity: &Identity, inbox: mpsc::Sender<Incoming>,
 ) -> Result<(), String> {
     let _ = stream.set_nodelay(true);
-    let mut link = Framed::new(stream, EnvelopeCodec::default());
+    let mut link = Framed::new(stream, EnvelopeCodec::small());
     let (reply, mut answers) = mpsc::channel::<Envelope>(QUEUE);
     loop {
         let say = tokio::select! {
@@ -112,6 +114,9 @@
                 if envelope.version != VERSION {
                     return Err(format!("it speaks version {}, and this is {VERSION}", envelope.version));
                 }
+                if identity.keepers.contains(&envelope.from) {
+                    link.codec_mut().trust();
+                }
                 if !matches!(envelope.body, Some(Body::Ping(_))) {
                     let reply = reply.clone();
                     if inbox.send(Incoming { envelope, reply }).await.is_err() {
@@ -200,16 +205,18 @@
     let (mut ping, mut heard) = (interval(PING_EVERY), Instant::now());
     loop {
         let next = tokio::select! {
-            next = waiting.recv() => match next {
-                Some(next) => next,
-                None => return None,
-            },
+            // The first ping is due at once, and goes first: by it the other side knows a keeper.
+            biased;
             _ = ping.tick() => {
                 if heard.elapsed() > SILENT {
                     return Some("it is silent".into());
                 }
                 identity.say(0, Body::Ping(StatusAsk {}))
             }
+            next = waiting.recv() => match next {
+                Some(next) => next,
+                None => return None,
+            },
             answer = link.next() => match answer {
                 Some(Ok(_)) => {
                     heard = Instant::now();
--- a/crates/cluster/src/member.rs
+++ b/crates/cluster/src/member.rs
@@ -50,7 +50,12 @@
             holder.bind(budget, declared.is_rate());
         }
         let incarnation = fastrand::Rng::new().u64(1..u64::MAX);
-        let identity = Identity { cluster: operator.cluster.clone(), name: name.to_string(), incarnation };
+        let identity = Identity {
+            cluster: operator.cluster.clone(),
+            name: name.to_string(),
+            incarnation,
+            keepers: operator.keepers.iter().map(|k| k.name.clone()).collect(),
+        };
         let lease = Duration::from_micros(operator.terms.lease_us);
         Rc::new(Fleet {
             holder: RefCell::new(holder),
--- a/crates/cluster/src/state.rs
+++ b/crates/cluster/src/state.rs
@@ -1,8 +1,9 @@
 //! What the entries of the agreed log make of the state: the table of shares, and who the keepers are.
 
+use crate::wire::ProxyAsk;
 use linenhill_decisions::roster::Terms;
+use linenhill_decisions::shares::Budgets;
 use linenhill_decisions::shares::table::{Command, Effect, Table};
-use linenhill_decisions::shares::{Ask, Budgets};
 use prost::Message;
 use std::collections::BTreeMap;
 
@@ -59,15 +60,9 @@
     /// Its incarnation.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
-    /// Its version.
-    #[prost(string, tag = "3")]
-    pub version: String,
-    /// Its zone.
-    #[prost(string, tag = "4")]
-    pub zone: String,
-    /// The request.
-    #[prost(message, required, tag = "5")]
-    pub ask: Ask,
+    /// What it asks.
+    #[prost(message, required, tag = "3")]
+    pub ask: ProxyAsk,
 }
 
 /// A keeper.
@@ -99,7 +94,7 @@
         let command = |doc: CommandDoc| {
             Some(match doc.which? {
                 Which::Declare(DeclareDoc { terms, budgets }) => Command::Declare { terms, budgets },
-                Which::Ask(AskDoc { name, incarnation, version, zone, ask }) => {
+                Which::Ask(AskDoc { name, incarnation, ask: ProxyAsk { ask, version, zone } }) => {
                     Command::Ask { name, incarnation, version, zone, ask }
                 }
                 Which::Remove(name) => Command::Remove { name },
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -166,7 +166,10 @@
             }
         }
         mem.wl().append(&entries).map_err(|_| content("the log"))?;
-        if let Some(hard) = hard {
+        if let Some(mut hard) = hard {
+            // A snapshot is of what was agreed on, also where the vote was written before that was known.
+            let meta = snapshot.get_metadata();
+            (hard.commit, hard.term) = (hard.commit.max(meta.index), hard.term.max(meta.term));
             if hard.commit > mem.last_index().unwrap_or(0) {
                 return Err(content("the end of the log"));
             }
--- a/crates/cluster/src/wire.rs
+++ b/crates/cluster/src/wire.rs
@@ -9,8 +9,10 @@
 
 /// The version of this protocol.
 pub const VERSION: u32 = 1;
-/// Longest frame: a snapshot of a fleet of thousands fits.
-pub const FRAME_MOST: usize = 16 << 20;
+/// Longest frame of a keeper: a snapshot of the most holdings that a table keeps.
+pub const FRAME_MOST: usize = 64 << 20;
+/// Longest frame of anybody else.
+pub const SMALL_FRAME_MOST: usize = 512 << 10;
 
 /// One message with who sent it.
 #[derive(Clone, PartialEq, Message)]
@@ -250,6 +252,18 @@
     }
 }
 
+impl EnvelopeCodec {
+    /// Frames of strangers: memory is set aside by a frame's declared length.
+    pub fn small() -> EnvelopeCodec {
+        EnvelopeCodec(LengthDelimitedCodec::builder().max_frame_length(SMALL_FRAME_MOST).new_codec())
+    }
+
+    /// A keeper speaks.
+    pub fn trust(&mut self) {
+        self.0.set_max_frame_length(FRAME_MOST);
+    }
+}
+
 impl Decoder for EnvelopeCodec {
     type Item = Envelope;
     type Error = WireError;
--- a/crates/decisions/src/shares/holder.rs
+++ b/crates/decisions/src/shares/holder.rs
@@ -32,6 +32,8 @@
     rest: u64,
     /// Something was wanted that there was no room for, since the last request.
     short: bool,
+    /// It binds here no more, once nothing of it is in use.
+    unbound: bool,
 }
 
 /// What one incarnation of a proxy holds.
@@ -84,12 +86,18 @@
 
     /// Says that a budget binds here, granted or not: until it is granted there is nothing of it.
     pub fn bind(&mut self, budget: &str, rate: bool) {
-        self.lines.entry(budget.to_string()).or_default().share.rate = rate;
+        let line = self.lines.entry(budget.to_string()).or_default();
+        (line.share.rate, line.unbound) = (rate, false);
     }
 
-    /// Forgets a budget of which nothing is in use.
+    /// Forgets a budget as soon as nothing of it is in use.
     pub fn unbind(&mut self, budget: &str) {
-        if self.lines.get(budget).is_some_and(|l| l.in_use == 0) {
+        self.lines.entry(budget.to_string()).and_modify(|l| l.unbound = true);
+        self.forget(budget);
+    }
+
+    fn forget(&mut self, budget: &str) {
+        if self.lines.get(budget).is_some_and(|l| l.unbound && l.in_use == 0) {
             self.lines.remove(budget);
         }
     }
@@ -159,6 +167,10 @@
             }
         }
         for (name, share) in grant.shares {
+            // Of things that are gone here a late answer may still tell.
+            if name.contains('/') && !self.lines.contains_key(&name) {
+                continue;
+            }
             let line = self.lines.entry(name).or_insert_with(|| Line { filled: now, ..Line::default() });
             if share.rate != line.share.rate {
                 (line.level, line.rest, line.filled) = (0, 0, now);
@@ -227,6 +239,7 @@
         if let Some(line) = self.lines.get_mut(budget) {
             line.in_use = line.in_use.saturating_sub(1);
         }
+        self.forget(budget);
     }
 
     /// Spends a unit of a rate, at once.
--- a/crates/decisions/src/shares/mod.rs
+++ b/crates/decisions/src/shares/mod.rs
@@ -20,6 +20,10 @@
 pub const BUDGETS_MOST: usize = 64;
 /// Most lines of the table: budgets, and those of which there is one for each of many things.
 pub const LINES_MOST: usize = 4_096;
+/// Most that is kept of holders and lines together: what a snapshot must bear.
+pub const HOLDINGS_MOST: usize = 131_072;
+/// Most units that a holder can say it needs or uses: more is taken for this, so that sums stay sums.
+pub const UNITS_MOST: u64 = 1 << 40;
 /// Longest name of a line, in bytes.
 pub const LINE_NAME_MOST: usize = 160;
 
--- a/crates/decisions/src/shares/table.rs
+++ b/crates/decisions/src/shares/table.rs
@@ -2,7 +2,10 @@
 //! only by the entries of the agreed log; see [`crate::roster`] for what time is here.
 
 use super::divide::{Claim, divide};
-use super::{Ask, BUDGETS_MOST, Budget, Budgets, Grant, LINE_NAME_MOST, LINES_MOST, Need, Share};
+use super::{
+    Ask, BUDGETS_MOST, Budget, Budgets, Grant, HOLDINGS_MOST, LINE_NAME_MOST, LINES_MOST, Need, Share,
+    UNITS_MOST,
+};
 use crate::planted::{Fault, planted};
 use crate::roster::{Roster, Terms, Unseated};
 use std::collections::{BTreeMap, BTreeSet};
@@ -286,15 +289,20 @@
                 self.lines.insert(name.clone(), Line { budget: Some(budget), holdings: BTreeMap::new() });
             }
         }
+        let mut holdings: usize = self.lines.values().map(|l| l.holdings.len()).sum();
         for (name, line) in &mut self.lines {
             let outlives = line.budget.as_ref().map_or(0, |b| b.outlives_us);
             let need = ask.needs.get(name).cloned().unwrap_or_default();
             let Need { in_use, demand } = need;
+            let (in_use, demand) = (in_use.min(UNITS_MOST), demand.min(UNITS_MOST));
             // Of what it doesn't name, and has nothing of, it holds nothing.
             let named = ask.needs.contains_key(name) || line.budget.as_ref().is_some_and(|b| !b.each);
-            let begins = named && line.budget.is_some();
-            if !begins && !line.holdings.contains_key(&incarnation) {
-                continue;
+            let begins = named && line.budget.is_some() && holdings < HOLDINGS_MOST;
+            if !line.holdings.contains_key(&incarnation) {
+                if !begins {
+                    continue;
+                }
+                holdings += 1;
             }
             let holding = line
                 .holdings
@@ -345,7 +353,9 @@
         let mut counted: u64 = line.counted(now);
         let mut shares = Vec::with_capacity(seated.len());
         for Seated { incarnation, ask, .. } in seated {
-            let Some(holding) = line.holdings.get_mut(incarnation) else {
+            // What a holder names no more ends by itself: granted on, it would be asked for and granted for ever.
+            let named = !budget.each || ask.needs.contains_key(name);
+            let Some(holding) = line.holdings.get_mut(incarnation).filter(|_| named) else {
                 shares.push(None);
                 continue;
             };
--- a/crates/decisions/tests/shares.rs
+++ b/crates/decisions/tests/shares.rs
@@ -673,3 +673,58 @@
     }
     assert!(sizes.iter().all(|(seats, holdings)| *seats <= 20 && *holdings <= 250), "{sizes:?}");
 }
+
+// Guards against a hundred newcomers that are given more than there is, or nothing for long; and against nine in ten that
+// die at once and take their part with them.
+#[test]
+fn a_hundred_join_at_once_and_what_nine_in_ten_leave_behind_is_used_again() {
+    let mut fleet = Calm::new(held(300, 1), 100);
+    let sum = |shares: Vec<u64>| shares.iter().sum::<u64>();
+    (0..10).for_each(|_| assert!(sum(fleet.round(|_| 5)) <= 300));
+    assert_eq!(fleet.round(|_| 5), vec![3; 100]);
+    let gone: Vec<Holder> = (11..=100).filter_map(|i| fleet.holders.remove(&i)).collect();
+    for _ in 0..60 {
+        let (now, mine) = (fleet.now, sum(fleet.round(|_| 30)));
+        let theirs: u64 = gone.iter().map(|h| h.limit(now, "b").unwrap_or(0)).sum();
+        assert!(mine + theirs <= 300, "{mine} and {theirs}");
+    }
+    assert_eq!(fleet.round(|_| 30), vec![30; 10]);
+}
+
+// Guards against lines of members that are gone and that are asked for and granted for ever, against needs that no sum
+// can hold, and against lines that nobody declared.
+#[test]
+fn what_is_named_no_more_ends_and_absurd_needs_are_bounded() {
+    let mut table = Table::default();
+    let budget = Budget { each: true, ..held(10, 1) };
+    table.apply(0, vec![Command::Declare { terms: TERMS, budgets: [("links".to_string(), budget)].into() }]);
+    let mut holder = Holder::new(TERMS.lease_us);
+    (0..5).for_each(|n| holder.bind(&format!("links/m{n}"), false));
+    let mut now = 1 << 30;
+    let mut lines = Vec::new();
+    for round in 0..40 {
+        if round == 5 {
+            (1..5).for_each(|n| holder.unbind(&format!("links/m{n}")));
+        }
+        let mut ask = holder.ask(now);
+        let absurd = linenhill_decisions::shares::Need { in_use: u64::MAX, demand: u64::MAX };
+        ask.needs.insert("other/m1".into(), absurd.clone());
+        ask.needs.insert("x".repeat(9_999), absurd);
+        let (version, zone) = (String::new(), String::new());
+        let command = Command::Ask { name: "p".into(), incarnation: 1, version, zone, ask };
+        for effect in table.apply(300 * MS, vec![command]) {
+            holder.granted(now, effect.answer.expect("a grant"));
+        }
+        now += 300 * MS;
+        lines.push((table.lines.len(), holder.budgets().count()));
+    }
+    assert_eq!((lines[4], lines[39]), ((5, 5), (1, 1)), "{lines:?}");
+    for n in 0..3 {
+        let most = linenhill_decisions::shares::Need { in_use: u64::MAX, demand: u64::MAX };
+        let ask = Ask { seq: 1, acked: 0, needs: [("links/m0".to_string(), most)].into() };
+        let (version, zone) = (String::new(), String::new());
+        let command = Command::Ask { name: format!("q{n}"), incarnation: 7 + n, version, zone, ask };
+        let shares = table.apply(0, vec![command])[0].answer.clone().expect("a grant").shares;
+        assert!(shares["links/m0"].units <= 9);
+    }
+}
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -1,7 +1,7 @@
 //! The operators' own file, in protobuf's text format: read whole, with every mistake named by line and field.
 
 use linenhill_decisions::roster::Terms;
-use linenhill_decisions::shares::{Budget, Budgets};
+use linenhill_decisions::shares::{BUDGETS_MOST, Budget, Budgets};
 use prost::Message;
 use prost_reflect::{DescriptorPool, DynamicMessage};
 use std::collections::BTreeSet;
@@ -312,6 +312,9 @@
         wrong(at, "terms.drift_ppm".into(), "1 to 200000 is expected");
     }
     let (mut budgets, mut bindings) = (Budgets::new(), Vec::new());
+    if doc.budget.len() > BUDGETS_MOST {
+        wrong(find(text, "budget", BUDGETS_MOST), "budget".into(), "64 budgets at most are expected");
+    }
     for (i, b) in doc.budget.iter().enumerate() {
         let (line, field) = (find(text, "budget", i), |name: &str| format!("budget[{i}].{name}"));
         let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
--- a/src/fleet/tools.rs
+++ b/src/fleet/tools.rs
@@ -99,7 +99,12 @@
 }
 
 fn identity(operator: &Operator) -> Identity {
-    Identity { cluster: operator.cluster.clone(), name: "operators".to_string(), incarnation: 0 }
+    Identity {
+        cluster: operator.cluster.clone(),
+        name: "operators".to_string(),
+        incarnation: 0,
+        keepers: Vec::new(),
+    }
 }
 
 /// The state as the leader has it; else as any keeper has it; else as the instance that was named.
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use linenhill::takeover::inherit;
 use linenhill_cluster::keeper;
 use linenhill_cluster::member::Fleet;
+use linenhill_decisions::roster::NAME_MOST;
 use linenhill_settings::operator::Operator;
 use log::{error, info, warn};
 use std::net::SocketAddr;
@@ -107,6 +108,11 @@
     plant()?;
     let together = match operator {
         None => None,
+        Some(_) if config.name.is_empty() || config.name.len() > NAME_MOST => {
+            return Err(format!(
+                "a proxy of a fleet needs a name of 1 to {NAME_MOST} bytes: 'name' or LB_NAME"
+            ));
+        }
         Some(operator) => {
             let fleet = Fleet::new(operator, &config.name, env!("CARGO_PKG_VERSION"));
             let reached = match fleet.operator().listen {
--- a/src/members/pool.rs
+++ b/src/members/pool.rs
@@ -155,7 +155,10 @@
                 let rested = idle.iter().rposition(|(_, since)| since.elapsed() >= REST)?;
                 idle.remove(rested)
             };
-            if since.elapsed() >= self.0.retire {
+            if self.over(member) {
+                // The share has shrunk or run out, perhaps while this process was stopped: it is not used again.
+                link.reason().set(CloseReason::GivenBack);
+            } else if since.elapsed() >= self.0.retire {
                 link.reason().set(CloseReason::Retired);
             } else if let Some(reason) = link.unfit() {
                 link.reason().set(reason);
@@ -166,8 +169,17 @@
         }
     }
 
-    /// Keeps a connection for the next use.
+    /// Whether more connections to a member are open than this proxy's shares allow.
+    fn over(&self, member: MemberId) -> bool {
+        self.named(member, |shares, name| Some(shares.excess(name) > 0)).unwrap_or(false)
+    }
+
+    /// Keeps a connection for the next use, unless it is one more than the shares allow: used on and on, it would
+    /// outlive its lease for ever.
     pub fn give(&self, member: MemberId, link: Link) {
+        if self.over(member) {
+            return link.reason().set(CloseReason::GivenBack);
+        }
         let mut slots = self.0.slots.borrow_mut();
         match slots.get_mut(&member).filter(|s| s.addr == Some(link.addr())) {
             Some(slot) => {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -451,6 +451,38 @@
     assert_eq!(names.len(), Fault::ALL.len());
 }
 
+// Guards against a busy proxy that no keeper reaches and that uses its connections on and on, while what it held is
+// granted to others; and against shares that are lost with all keepers at once.
+#[test]
+fn a_busy_proxy_without_keepers_gives_way_and_all_keepers_may_start_anew() {
+    play(async {
+        let mut world = World::new("fleet-cut", 2, None).await;
+        world.clients(WHOLE);
+        world.settled().await;
+        for way in &world.proxies[0].ways {
+            way.weather(|w| (w.held_to, w.held_from) = (true, true));
+        }
+        world.history.push("p0 cut off".into());
+        let gone = async {
+            while world.status().await.is_none_or(|s| s.contains("\"name\":\"p0\"")) {
+                sleep(Duration::from_millis(100)).await;
+            }
+            let served = world.counted.served.get();
+            while world.counted.served.get() < served + 300 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, gone).await.expect("its part is used by the other");
+        world.check().unwrap_or_else(|e| panic!("{e}"));
+        world.heal();
+        (0..KEEPERS).for_each(|i| world.keepers[i].program = None);
+        (0..KEEPERS).for_each(|i| world.start_keeper(i, false));
+        world.history.push("all keepers killed and started".into());
+        world.settled().await;
+        world.check().unwrap_or_else(|e| panic!("{e}"));
+    });
+}
+
 // Guards against a keeper that lost its disk and votes under its old number, and against one that can't be replaced.
 #[test]
 fn a_keeper_without_its_disk_is_a_stranger_until_it_is_replaced() {
