The keeper is a machine without sockets or clock; lost joins and seats come back

Need: keepers could be proven only as processes. node.rs is what a keeper does with events and time (the driver in keeper.rs carries out its actions), the way to the leader is the pure machine shares/seeking, and a store can lie on something else than a file, so that all of it can be played under virtual time.

Budgets have a revision and are declared by `fleet declare`: an older file at a new leader changes nothing. A LOAD budget takes the place of 1 / fleetSize in the decisions (Router::hold_part).

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,5 +1,6 @@
-//! Instances of one fleet together: the link between them ([`wire`], [`link`]), the agreed log of the keepers
-//! ([`keeper`], with an existing Raft engine) on its disk ([`store`]), and a proxy's side of it ([`member`]).
+//! Instances of one fleet together: the link between them ([`wire`], [`link`]), the agreed log of the keepers ([`node`],
+//! with an existing Raft engine, which [`keeper`] carries out) on its disk ([`store`]), and a proxy's side of it
+//! ([`member`]).
 //!
 //! Carries out and decides nothing: what the log says and what may be used is decided by
 //! `linenhill_decisions::{roster, shares}`. Nothing here is reached unless the operator's file asks for it.
@@ -10,6 +11,7 @@
 pub mod keeper;
 pub mod link;
 pub mod member;
+pub mod node;
 pub mod state;
 pub mod store;
 pub mod wire;
--- a/crates/cluster/src/member.rs
+++ b/crates/cluster/src/member.rs
@@ -8,6 +8,7 @@
 use crate::wire::{Body, BudgetStatus, Envelope, EnvelopeCodec, ProxyAsk, Status};
 use futures_util::{SinkExt, StreamExt};
 use linenhill_decisions::shares::holder::{Holder, Leave};
+use linenhill_decisions::shares::seeking::Seeking;
 use linenhill_settings::operator::Operator;
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -19,11 +20,6 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
-/// Pauses between keepers that can't be reached.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
-/// A request that is not answered for this part of the lease is asked of another keeper.
-const ANSWER_PART: u32 = 4;
-const ANSWER_LEAST: Duration = Duration::from_millis(200);
 /// What others ask of this instance, waiting.
 const INBOX: usize = 64;
 
@@ -32,12 +28,11 @@
 /// A proxy's part in the fleet.
 pub struct Fleet {
     holder: RefCell<Holder>,
-    identity: Rc<Identity>,
+    identity: RefCell<Rc<Identity>>,
     operator: Operator,
     version: String,
     leader: RefCell<String>,
     answered: Cell<u64>,
-    lease: Duration,
     wake: Notify,
     changed: Notify,
 }
@@ -56,20 +51,22 @@
             incarnation,
             keepers: operator.keepers.iter().map(|k| k.name.clone()).collect(),
         };
-        let lease = Duration::from_micros(operator.terms.lease_us);
         Rc::new(Fleet {
             holder: RefCell::new(holder),
-            identity: Rc::new(identity),
+            identity: RefCell::new(Rc::new(identity)),
             operator,
             version: version.to_string(),
             leader: RefCell::default(),
             answered: Cell::new(clock::now()),
-            lease,
             wake: Notify::new(),
             changed: Notify::new(),
         })
     }
 
+    fn identity(&self) -> Rc<Identity> {
+        self.identity.borrow().clone()
+    }
+
     /// The operators' file.
     pub fn operator(&self) -> &Operator {
         &self.operator
@@ -91,6 +88,16 @@
         self.short(leave)
     }
 
+    /// What may be used of a budget now; none where it doesn't bind.
+    pub fn limit(&self, line: &str) -> Option<u64> {
+        self.holder.borrow().limit(clock::now(), line)
+    }
+
+    /// So many units could be used.
+    pub fn want(&self, line: &str, units: u64) {
+        self.holder.borrow_mut().want(line, units);
+    }
+
     /// A unit has ended.
     pub fn give(&self, line: &str) {
         self.holder.borrow_mut().give(line);
@@ -119,77 +126,63 @@
         leave
     }
 
-    /// Renews what this proxy holds, for as long as the program runs or until another one of its name has the seat.
+    /// Renews what this proxy holds, for as long as the program runs.
     pub async fn run(self: Rc<Self>) {
-        let (mut link, mut at, mut pause) = (None::<Link>, 0usize, PAUSE.0);
-        let mut asked = None;
-        let mut held = false;
+        let mut seeking = Seeking::new(self.operator.keepers.len(), self.operator.terms.lease_us);
+        let (mut link, mut held) = (None::<Link>, false);
         loop {
             let holds = self.holder.borrow().holds(clock::now());
             if held != holds {
                 held = holds;
                 self.changed.notify_one();
                 let text = if holds { "holds its shares" } else { "has no lease and lives on its floors" };
-                info!("fleet: {} {text}", self.identity.name);
+                info!("fleet: {} {text}", self.identity().name);
             }
-            let Some(due) = self.holder.borrow().due() else { return };
+            let due = self.holder.borrow().due();
             let (until, _) = self.holder.borrow().held_until();
             let Some(open) = &mut link else {
-                match self.next_keeper(&mut at).await {
-                    Some(opened) => {
-                        (link, asked) = (Some(opened), None);
+                let Some(keeper) = self.operator.keepers.get(seeking.keeper()) else { return };
+                match link::connect(keeper.address).await {
+                    Ok(opened) => {
+                        link = Some(opened);
                         self.holder.borrow_mut().hurry();
                     }
-                    None => {
-                        sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
-                        pause = (pause * 2).min(PAUSE.1);
-                    }
+                    Err(_) => sleep(Duration::from_micros(seeking.lost(fastrand::f64()))).await,
                 }
                 continue;
             };
-            let patience = (self.lease / ANSWER_PART).max(ANSWER_LEAST);
-            let answer_by = asked.map(|asked: u64| asked + patience.as_micros() as u64);
+            let answer_by = seeking.answer_by();
+            let mut pause = None;
             tokio::select! {
                 () = sleep(clock::until(due)) => {
                     let ask = self.holder.borrow_mut().ask(clock::now());
-                    asked = asked.or(Some(clock::now()));
+                    seeking.asked(clock::now());
                     let (version, zone) = (self.version.clone(), self.operator.zone.clone());
-                    let envelope = self.identity.say(0, Body::Ask(ProxyAsk { ask, version, zone }));
-                    if !matches!(timeout(patience, open.send(envelope)).await, Ok(Ok(()))) {
-                        (link, at) = (None, at + 1);
+                    let envelope = self.identity().say(0, Body::Ask(ProxyAsk { ask, version, zone }));
+                    let within = Duration::from_micros(seeking.patience());
+                    if !matches!(timeout(within, open.send(envelope)).await, Ok(Ok(()))) {
+                        pause = Some(seeking.lost(fastrand::f64()));
                     }
                 }
                 () = self.wake.notified() => {}
                 () = sleep(clock::until(until)), if held => {}
                 () = sleep(clock::until(answer_by.unwrap_or(0))), if answer_by.is_some() => {
-                    (link, at) = (None, at + 1);
+                    pause = Some(seeking.lost(fastrand::f64()));
                 }
                 came = open.next() => match came {
                     Some(Ok(envelope)) => match self.on_answer(envelope) {
-                        Answer::Granted => (asked, pause) = (None, PAUSE.0),
+                        Answer::Granted => seeking.granted(),
                         Answer::Elsewhere(place) => {
-                            link = None;
-                            at = place.unwrap_or(at + 1);
-                            sleep(pause).await;
-                            pause = (pause * 2).min(PAUSE.1);
+                            pause = Some(seeking.elsewhere(place, fastrand::f64()));
                         }
                         Answer::Nothing => {}
-                        Answer::Over => return,
                     },
-                    _ => (link, at) = (None, at + 1),
+                    _ => pause = Some(seeking.lost(fastrand::f64())),
                 },
             }
-        }
-    }
-
-    async fn next_keeper(&self, at: &mut usize) -> Option<Link> {
-        let keepers = &self.operator.keepers;
-        let keeper = keepers.get(*at % keepers.len().max(1))?;
-        match link::connect(keeper.address).await {
-            Ok(link) => Some(link),
-            Err(_) => {
-                *at += 1;
-                None
+            if let Some(pause) = pause {
+                link = None;
+                sleep(Duration::from_micros(pause)).await;
             }
         }
     }
@@ -212,9 +205,16 @@
                 Answer::Elsewhere(self.operator.keepers.iter().position(|k| k.name == elsewhere.leader))
             }
             Some(Body::Refused(refused)) if refused.superseded => {
-                warn!("fleet: another process is {} now; this one gets nothing more", self.identity.name);
-                self.holder.borrow_mut().supersede();
-                Answer::Over
+                // Not an answer to the incarnation that was drawn since.
+                if refused.incarnation == self.identity().incarnation {
+                    warn!("fleet: another process is {} now; this one has nothing", self.identity().name);
+                    let incarnation = fastrand::Rng::new().u64(1..u64::MAX);
+                    let next = Identity { incarnation, ..Identity::clone(&self.identity()) };
+                    self.identity.replace(Rc::new(next));
+                    self.holder.borrow_mut().supersede(clock::now());
+                    self.changed.notify_one();
+                }
+                Answer::Nothing
             }
             _ => Answer::Nothing,
         }
@@ -223,11 +223,11 @@
     /// Answers operators who ask this proxy for its state.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let (inbox, mut came) = mpsc::channel::<Incoming>(INBOX);
-        let served = link::serve(listener, self.operator.allow.clone(), self.identity.clone(), inbox);
+        let served = link::serve(listener, self.operator.allow.clone(), self.identity(), inbox);
         let answer = async {
             while let Some(Incoming { envelope, reply }) = came.recv().await {
                 if matches!(envelope.body, Some(Body::StatusAsk(_))) {
-                    let _ = reply.try_send(self.identity.say(0, Body::Status(self.status())));
+                    let _ = reply.try_send(self.identity().say(0, Body::Status(self.status())));
                 }
             }
         };
@@ -260,5 +260,4 @@
     Granted,
     Elsewhere(Option<usize>),
     Nothing,
-    Over,
 }
--- a/crates/cluster/src/state.rs
+++ b/crates/cluster/src/state.rs
@@ -49,6 +49,9 @@
     /// The budgets.
     #[prost(btree_map = "string, message", tag = "2")]
     pub budgets: Budgets,
+    /// Which edition of them.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
 }
 
 /// A request.
@@ -93,7 +96,9 @@
         let Ok(entry) = Entry::decode(data) else { return Vec::new() };
         let command = |doc: CommandDoc| {
             Some(match doc.which? {
-                Which::Declare(DeclareDoc { terms, budgets }) => Command::Declare { terms, budgets },
+                Which::Declare(DeclareDoc { terms, budgets, revision }) => {
+                    Command::Declare { terms, budgets, revision }
+                }
                 Which::Ask(AskDoc { name, incarnation, ask: ProxyAsk { ask, version, zone } }) => {
                     Command::Ask { name, incarnation, version, zone, ask }
                 }
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -9,7 +9,7 @@
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::storage::MemStorage;
 use raft::{GetEntriesContext, RaftState, Storage, StorageError};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Builder, Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use std::fmt;
 use std::path::{Path, PathBuf};
 
@@ -111,6 +111,21 @@
         std::fs::create_dir_all(folder).map_err(|e| DiskError::Folder(folder.to_path_buf(), e))?;
         let path = folder.join(FILE);
         let db = failed(&path, Database::create(&path))?;
+        Disk::begin(path, db, identity, founded)
+    }
+
+    /// Makes a store on something else than a file, as [`Disk::create`] does.
+    pub fn create_on(
+        backend: impl StorageBackend, identity: Identity, founded: Option<Vec<u8>>,
+    ) -> Result<Disk, DiskError> {
+        let path = PathBuf::from(&identity.name);
+        let db = failed(&path, Builder::new().create_with_backend(backend))?;
+        Disk::begin(path, db, identity, founded)
+    }
+
+    fn begin(
+        path: PathBuf, db: Database, identity: Identity, founded: Option<Vec<u8>>,
+    ) -> Result<Disk, DiskError> {
         let mut disk = Disk { db, path, mem: MemStorage::new(), snapshot: Snapshot::default(), identity };
         disk.write(|meta, _| {
             meta.insert("identity", disk.identity.text().as_bytes())?;
@@ -135,6 +150,17 @@
             return Err(DiskError::Missing(path));
         }
         let db = failed(&path, Database::open(&path))?;
+        Disk::read(path, db)
+    }
+
+    /// Opens the store on something else than a file.
+    pub fn open_on(backend: impl StorageBackend, name: &str) -> Result<Disk, DiskError> {
+        let path = PathBuf::from(name);
+        let db = failed(&path, Builder::new().create_with_backend(backend))?;
+        Disk::read(path, db)
+    }
+
+    fn read(path: PathBuf, db: Database) -> Result<Disk, DiskError> {
         let content = |what| DiskError::Content(path.clone(), what);
         let read = failed(&path, db.begin_read())?;
         let meta = failed(&path, read.open_table(META))?;
--- a/crates/cluster/src/wire.rs
+++ b/crates/cluster/src/wire.rs
@@ -104,6 +104,9 @@
     /// In words.
     #[prost(string, tag = "3")]
     pub reason: String,
+    /// Who asked.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
 }
 
 /// Where the leader is.
@@ -135,6 +138,9 @@
     /// A keeper has lost its disk: another store of its name may join.
     #[prost(string, tag = "2")]
     pub replace: String,
+    /// These budgets, in the place of those agreed on.
+    #[prost(message, optional, tag = "3")]
+    pub declare: Option<crate::state::DeclareDoc>,
 }
 
 /// What came of something.
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -140,7 +140,7 @@
 
     /// One router's share of what all together may do to a member, where each sees only its own part.
     pub(super) fn shared(&self, all: f64) -> f64 {
-        all / f64::from(self.set.fleet_size.max(1))
+        all / self.sharers.0
     }
 
     fn on_served(&mut self, member: MemberId, class: usize, latency: Us) {
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -78,7 +78,7 @@
     /// Chance keeps routers apart; an unused permit counts for a while, or all would save up one each.
     pub(super) fn next_permit(&mut self, id: MemberId, work: f64) {
         let Some(m) = self.members.get(&id) else { return };
-        let share = self.shared(self.set.rules.fall_multiple * COLD_CORES);
+        let share = self.set.rules.fall_multiple * COLD_CORES / self.sharers.1;
         let since = self.now.saturating_sub(m.cold_since.unwrap_or(self.now)) as f64;
         let pace = m.pace * self.pace.min(1.0 + PACE.3 * since / self.set.rules.fall.0.max(1) as f64);
         let gap = work.max(1.0) / (self.warmth(m) * share * pace).max(1e-9);
--- a/crates/decisions/src/roster.rs
+++ b/crates/decisions/src/roster.rs
@@ -69,6 +69,8 @@
     Name,
     /// A later start of the same name holds the seat.
     Superseded,
+    /// Somebody of the same name holds the seat, and whoever asks gives way to it.
+    Taken,
     /// Another name has this incarnation.
     Twice,
     /// The request is not newer than one already taken.
@@ -113,8 +115,11 @@
         }
     }
 
-    /// An instance asks for the `seq`-th time. True if it is a new incarnation.
-    pub fn ask(&mut self, name: &str, incarnation: u64, seq: u64) -> Result<bool, Unseated> {
+    /// An instance asks for the `seq`-th time. True if it is a new incarnation; one that gives way takes a seat only from
+    /// whoever was silent for that span.
+    pub fn ask(
+        &mut self, name: &str, incarnation: u64, seq: u64, silent: Option<u64>,
+    ) -> Result<bool, Unseated> {
         if name.is_empty() || name.len() > NAME_MOST {
             return Err(Unseated::Name);
         }
@@ -134,6 +139,9 @@
                 (seat.seq, seat.heard) = (seq, now);
                 Ok(false)
             }
+            Some(seat) if silent.is_some_and(|span| now <= seat.heard.saturating_add(span)) => {
+                Err(Unseated::Taken)
+            }
             Some(seat) => {
                 let before = seat.incarnation;
                 *seat = Seat { incarnation, joined: now, heard: now, seq, ..Seat::default() };
--- a/crates/decisions/src/shares/holder.rs
+++ b/crates/decisions/src/shares/holder.rs
@@ -16,6 +16,8 @@
 const EAGER: u64 = 100_000;
 /// What was needed at most counts as needed for so many requests more.
 const PEAKS: usize = 3;
+/// Units that are refused count as wanted up to what is in use and so many more.
+const REFUSED_MOST: u64 = 8;
 
 /// One budget here.
 #[derive(Clone, Debug, Default)]
@@ -30,8 +32,9 @@
     filled: u64,
     /// Thousandths of a thousandth that were not whole yet.
     rest: u64,
-    /// Something was wanted that there was no room for, since the last request.
+    /// Something was wanted that there was no room for, since the last request, and how often.
     short: bool,
+    refused: u64,
     /// It binds here no more, once nothing of it is in use.
     unbound: bool,
 }
@@ -52,7 +55,8 @@
     lines: BTreeMap<String, Line>,
     /// A grant took something away that the granters should soon know of.
     gave_up: bool,
-    superseded: bool,
+    /// Another process has its name: it waits until that one is silent.
+    gives_way: bool,
 }
 
 /// Whether something may be used.
@@ -80,7 +84,7 @@
             drift_ppm: 0,
             lines: BTreeMap::new(),
             gave_up: false,
-            superseded: false,
+            gives_way: false,
         }
     }
 
@@ -102,23 +106,19 @@
         }
     }
 
-    /// When the next request is due; never once another incarnation has taken the seat.
-    pub fn due(&self) -> Option<u64> {
-        if self.superseded {
-            return None;
+    /// When the next request is due.
+    pub fn due(&self) -> u64 {
+        let Some(last) = self.last_asked else { return 0 };
+        if self.gives_way && self.acked == 0 {
+            return last.saturating_add(self.lease);
         }
-        let Some(last) = self.last_asked else { return Some(0) };
         let eager = self.gave_up || self.lines.values().any(|l| l.short);
-        Some(last.saturating_add(if eager {
-            EAGER.min(self.lease / RENEW_PART)
-        } else {
-            self.lease / RENEW_PART
-        }))
+        last.saturating_add(if eager { EAGER.min(self.lease / RENEW_PART) } else { self.lease / RENEW_PART })
     }
 
     /// The next request is due at once: what was asked before went where nobody answers.
     pub fn hurry(&mut self) {
-        if let Some(last) = &mut self.last_asked {
+        if let Some(last) = self.last_asked.as_mut().filter(|_| !self.gives_way || self.acked > 0) {
             *last = last.saturating_sub(self.lease);
         }
     }
@@ -138,13 +138,11 @@
             let per_second = u128::from(line.peak) * 1_000_000 / u128::from(span);
             line.peaks[0] =
                 if line.share.rate { u64::try_from(per_second).unwrap_or(u64::MAX) } else { line.peak };
-            let peak = line.peaks.iter().copied().max().unwrap_or(0);
-            // A fifth more than was needed, so that what grows a little need not wait.
-            let demand = peak.saturating_add(peak / 5);
-            (line.peak, line.short) = (line.in_use, false);
+            let demand = line.peaks.iter().copied().max().unwrap_or(0);
+            (line.peak, line.short, line.refused) = (line.in_use, false, 0);
             needs.insert(name.clone(), Need { in_use: line.in_use, demand });
         }
-        Ask { seq: self.seq, acked: self.acked, needs }
+        Ask { seq: self.seq, acked: self.acked, needs, gives_way: self.gives_way }
     }
 
     /// An answer came. Late, doubled and out of order ones change nothing; true if this one is gone by now.
@@ -183,9 +181,17 @@
         true
     }
 
-    /// Another incarnation of this name holds the seat, or operators took this one off: it asks no more.
-    pub fn supersede(&mut self) {
-        self.superseded = true;
+    /// Another incarnation of this name holds the seat, or operators took this one off: it holds nothing any more, and asks
+    /// on as a new incarnation that gives way to whoever has the seat. What is in use is still in use.
+    pub fn supersede(&mut self, now: u64) {
+        self.settle(now);
+        (self.until, self.floor_until, self.acked, self.gives_way) = (0, 0, 0, true);
+        self.asked.clear();
+        self.last_asked = Some(now);
+        for line in self.lines.values_mut() {
+            line.share = Share { rate: line.share.rate, ..Share::default() };
+        }
+        self.settle(now);
     }
 
     /// Until when the shares hold, and the floors.
@@ -229,11 +235,22 @@
             line.peak = line.peak.max(line.in_use);
             return Leave::Yes;
         }
-        line.peak = line.peak.max(line.in_use + 1);
+        // Whatever is refused is wanted; who asks again and again says no more than that it wants twice as much.
+        line.refused = (line.refused + 1).min(line.in_use + REFUSED_MOST);
+        line.peak = line.peak.max(line.in_use + line.refused);
         line.short = true;
         Leave::No
     }
 
+    /// Says that so many units of a held budget could be used from now on, without taking any; it is asked for at once
+    /// where there is no more than the floor.
+    pub fn want(&mut self, budget: &str, units: u64) {
+        if let Some(line) = self.lines.get_mut(budget) {
+            line.peak = line.peak.max(units);
+            line.short |= line.share.units <= line.share.floor;
+        }
+    }
+
     /// A unit of a held budget has ended.
     pub fn give(&mut self, budget: &str) {
         if let Some(line) = self.lines.get_mut(budget) {
--- a/crates/decisions/src/shares/mod.rs
+++ b/crates/decisions/src/shares/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod divide;
 pub mod holder;
+pub mod seeking;
 pub mod table;
 
 use std::collections::BTreeMap;
@@ -80,6 +81,9 @@
     /// Its needs by budget.
     #[prost(btree_map = "string, message", tag = "3")]
     pub needs: BTreeMap<String, Need>,
+    /// Another process had its name: it wants the seat only if whoever has it is silent.
+    #[prost(bool, tag = "4")]
+    pub gives_way: bool,
 }
 
 /// A share of one budget.
--- a/crates/decisions/src/shares/table.rs
+++ b/crates/decisions/src/shares/table.rs
@@ -127,6 +127,8 @@
         terms: Terms,
         /// The budgets.
         budgets: Budgets,
+        /// Which edition of them: one that is not higher than what was agreed on before changes nothing.
+        revision: u64,
     },
     /// An instance asks.
     Ask {
@@ -174,6 +176,9 @@
     /// The budgets as they were declared.
     #[prost(btree_map = "string, message", tag = "4")]
     pub declared: Budgets,
+    /// Which edition of them it is.
+    #[prost(uint64, tag = "5")]
+    pub revision: u64,
 }
 
 /// The budget of a line: its own, or that of which there is one for each.
@@ -200,10 +205,15 @@
         let (mut effects, mut seated) = (Vec::new(), Vec::new());
         for command in commands {
             match command {
-                Command::Declare { terms, budgets } => self.declare(terms, budgets),
+                Command::Declare { terms, budgets, revision } if self.takes(revision) => {
+                    self.revision = revision;
+                    self.declare(terms, budgets);
+                }
+                Command::Declare { .. } => {}
                 Command::Remove { name } => self.remove(&name),
                 Command::Ask { name, incarnation, version, zone, ask } => {
-                    match self.roster.ask(&name, incarnation, ask.seq) {
+                    let silent = ask.gives_way.then(|| self.terms.stretched(self.terms.lease_us));
+                    match self.roster.ask(&name, incarnation, ask.seq, silent) {
                         Err(problem) => {
                             effects.push(Effect { name, incarnation, answer: Err(problem) });
                         }
@@ -236,6 +246,11 @@
         effects
     }
 
+    /// Whether budgets of this revision would be taken: an older file at a new leader changes nothing.
+    pub fn takes(&self, revision: u64) -> bool {
+        revision > self.revision || self.terms == Terms::default()
+    }
+
     /// Only planted: what all others held counts no more.
     fn take_over(&mut self, name: &str, incarnation: u64) {
         let seats: BTreeSet<u64> = self.roster.seats.values().map(|s| s.incarnation).collect();
@@ -333,11 +348,7 @@
         let turn = lease.saturating_mul(TURN_LEASES);
         let claim = |i: &u64| {
             let h = &line.holdings[i];
-            // Steady needs get steady shares: a little more than is needed is left where it is.
-            let had = h.grants.last().map_or(0, |g| g.units);
-            let steady = h.demand <= had && had <= h.demand + h.demand / 4 + 1;
-            let wants = if steady { had } else { h.demand };
-            let demand = if now < h.said.saturating_add(lease) { wants.saturating_sub(base) } else { 0 };
+            let demand = if now < h.said.saturating_add(lease) { h.demand.saturating_sub(base) } else { 0 };
             // First whoever has a part and has not had it for long, then whoever has waited longest, then the others.
             let order = match (h.served, now < h.turn.saturating_add(turn)) {
                 (true, true) => 0,
@@ -348,8 +359,19 @@
         };
         let claims: Vec<Claim> = active.iter().map(claim).collect();
         let scarce = claims.iter().map(|c| c.demand).fold(0, u64::saturating_add) > rest;
-        let targets: BTreeMap<u64, u64> =
-            active.iter().copied().zip(divide(rest, &claims).into_iter().map(|n| n + base)).collect();
+        // Only of what nobody needs: a fifth more, so that what grows a little need not wait; and a little more than is
+        // needed is left where it is, so that steady needs get steady shares.
+        let needed = divide(rest, &claims);
+        let spare = |(i, claim): (&u64, &Claim)| {
+            let had = line.holdings[i].grants.last().map_or(0, |g| g.units.saturating_sub(base));
+            let steady = claim.demand <= had && had <= claim.demand + claim.demand / 4 + 1;
+            let extra = if steady { had - claim.demand } else { claim.demand / 5 };
+            Claim { demand: extra, turn: claim.turn }
+        };
+        let spares: Vec<Claim> = active.iter().zip(&claims).map(spare).collect();
+        let spares = divide(rest - needed.iter().sum::<u64>(), &spares);
+        let all = needed.into_iter().zip(spares).map(|(needed, spare)| base + needed + spare);
+        let targets: BTreeMap<u64, u64> = active.iter().copied().zip(all).collect();
         let mut counted: u64 = line.counted(now);
         let mut shares = Vec::with_capacity(seated.len());
         for Seated { incarnation, ask, .. } in seated {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -142,9 +142,20 @@
     pub(crate) timer_at: Us,
     pub(crate) walk_at: Us,
     pub(crate) asking: Asking,
+    /// As how many routers like this one all that share nothing count: for limits, and for what cold members bear.
+    pub(crate) sharers: (f64, f64),
 }
 
 impl Router {
+    /// What this router may do of what all may do together, where it is agreed on: from 0 to 1. What cold members bear
+    /// goes by it alone; limits, which must not stop a router that nothing was granted yet, then go by the settings.
+    pub fn hold_part(&mut self, part: f64) {
+        let settings = f64::from(self.set.fleet_size.max(1));
+        let held = part > 0.0;
+        self.sharers =
+            (if held { 1.0 / part } else { settings }, if held { 1.0 / part } else { f64::INFINITY });
+    }
+
     /// Whether anything is kept of a member: once not, its driver may forget it, too.
     pub fn knows(&self, member: MemberId) -> bool {
         self.members.contains_key(&member)
@@ -170,7 +181,9 @@
     pub(crate) fn blank(set: Settings, rng: fastrand::Rng, now: Us) -> Router {
         let waits = Waits::new(set.classes.iter().map(|c| c.give_up.0));
         let first = (set.discovery == Discovery::OnRequest).then_some(now);
+        let sharers = f64::from(set.fleet_size.max(1));
         Router {
+            sharers: (sharers, sharers),
             asking: Asking::new(set.me, set.fleet_size, set.rules.ask_within.0, first),
             buckets: vec![Allowance::new(now); set.tenants.len()],
             set,
--- a/crates/decisions/tests/shares.rs
+++ b/crates/decisions/tests/shares.rs
@@ -18,6 +18,16 @@
     Budget { whole, floor, burst: 0, outlives_us: OUTLIVES, each: false }
 }
 
+/// Each declaration is a later edition than all before it.
+fn declared(terms: Terms, budgets: Budgets) -> Command {
+    thread_local! {
+        static LAST: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
+    }
+    let revision = LAST.get() + 1;
+    LAST.set(revision);
+    Command::Declare { terms, budgets, revision }
+}
+
 fn budgets(whole: u64, floor: u64) -> Budgets {
     let rate = Budget { whole: 40_000, floor: 1_000, burst: 8, outlives_us: 0, each: false };
     [("links".to_string(), held(whole, floor)), ("probes".to_string(), rate)].into()
@@ -82,7 +92,7 @@
             spent: 0,
         };
         world.lead();
-        world.commit(vec![Command::Declare { terms: TERMS, budgets: budgets(whole, floor) }]);
+        world.commit(vec![declared(TERMS, budgets(whole, floor))]);
         (0..3).for_each(|n| world.start(&format!("p{n}")));
         world
     }
@@ -137,13 +147,17 @@
             }
             Sent::Grant(incarnation, answer) => {
                 let real = self.real;
+                let next = self.rng.u64(1..u64::MAX);
                 let to =
                     self.processes.iter_mut().find(|p| p.incarnation == incarnation && p.alive && !p.stopped);
                 let Some(p) = to else { return };
                 let now = p.now(real);
                 match answer {
                     Ok(grant) => _ = p.holder.granted(now, grant),
-                    Err(Unseated::Superseded) => p.holder.supersede(),
+                    Err(Unseated::Superseded) => {
+                        p.incarnation = next;
+                        p.holder.supersede(now);
+                    }
                     Err(_) => {}
                 }
             }
@@ -177,7 +191,7 @@
                     self.bucket.0 = self.bucket.0.checked_sub(1_000_000_000).unwrap_or(u128::MAX);
                 }
             }
-            _ if p.holder.due().is_some_and(|at| at <= now) => {
+            _ if p.holder.due() <= now => {
                 let ask = p.holder.ask(now);
                 self.net.push(Sent::Ask(p.name.clone(), p.incarnation, ask));
             }
@@ -455,9 +469,7 @@
         rates: [0; 3],
     };
     let budget = Budget { whole, floor, burst: 0, outlives_us: 0, each: false };
-    first
-        .table
-        .apply(0, vec![Command::Declare { terms: SMALL, budgets: [("b".to_string(), budget)].into() }]);
+    first.table.apply(0, vec![declared(SMALL, [("b".to_string(), budget)].into())]);
     first.holders.iter_mut().for_each(|h| h.bind("b", false));
     // The holders' clocks at both edges, before a leader's that is fast: the edge that ends things too early.
     let rates = (0..4).map(|n: usize| [RATES[n & 1], RATES[n >> 1], RATES[1]]);
@@ -533,7 +545,7 @@
 impl Calm {
     fn new(budget: Budget, proxies: u64) -> Calm {
         let mut table = Table::default();
-        table.apply(0, vec![Command::Declare { terms: TERMS, budgets: [("b".to_string(), budget)].into() }]);
+        table.apply(0, vec![declared(TERMS, [("b".to_string(), budget)].into())]);
         Calm {
             table,
             holders: (1..=proxies).map(|i| (i, Holder::new(TERMS.lease_us))).collect(),
@@ -620,9 +632,8 @@
 fn a_smaller_budget_and_a_new_incarnation_begin_with_what_is_still_out() {
     let mut fleet = Calm::new(held(10, 0), 2);
     (0..10).for_each(|_| _ = fleet.round(|_| 20));
-    let declare =
-        |whole| Command::Declare { terms: TERMS, budgets: [("b".to_string(), held(whole, 0))].into() };
-    fleet.table.apply(0, vec![Command::Declare { terms: TERMS, budgets: Budgets::new() }, declare(4)]);
+    let declare = |whole| declared(TERMS, [("b".to_string(), held(whole, 0))].into());
+    fleet.table.apply(0, vec![declared(TERMS, Budgets::new()), declare(4)]);
     assert_eq!(fleet.table.over(), [("b", 10, 4)], "it says that it doesn't hold yet");
     (0..10).for_each(|_| _ = fleet.round(|_| 20));
     assert!(fleet.table.over().is_empty());
@@ -636,6 +647,7 @@
             seq,
             acked: 0,
             needs: [("b".to_string(), linenhill_decisions::shares::Need { in_use: 0, demand: 9 })].into(),
+            gives_way: false,
         },
     };
     let granted = |effects: Vec<Effect>| effects[0].answer.clone().map(|g| g.shares["b"].units);
@@ -658,11 +670,12 @@
 #[test]
 fn what_is_kept_of_a_flapping_fleet_is_bounded() {
     let mut table = Table::default();
-    table.apply(0, vec![Command::Declare { terms: TERMS, budgets: budgets(50, 1) }]);
+    table.apply(0, vec![declared(TERMS, budgets(50, 1))]);
     let mut rng = fastrand::Rng::with_seed(9);
     let mut sizes = Vec::new();
     for round in 0..4_000u64 {
-        let ask = Ask { seq: 1, acked: 0, needs: [("links".to_string(), Default::default())].into() };
+        let needs = [("links".to_string(), Default::default())].into();
+        let ask = Ask { seq: 1, needs, ..Ask::default() };
         let (version, zone) = (String::new(), String::new());
         let name = format!("p{}", rng.u8(0..20));
         table.apply(100 * MS, vec![Command::Ask { name, incarnation: 1_000 + round, version, zone, ask }]);
@@ -697,7 +710,7 @@
 fn what_is_named_no_more_ends_and_absurd_needs_are_bounded() {
     let mut table = Table::default();
     let budget = Budget { each: true, ..held(10, 1) };
-    table.apply(0, vec![Command::Declare { terms: TERMS, budgets: [("links".to_string(), budget)].into() }]);
+    table.apply(0, vec![declared(TERMS, [("links".to_string(), budget)].into())]);
     let mut holder = Holder::new(TERMS.lease_us);
     (0..5).for_each(|n| holder.bind(&format!("links/m{n}"), false));
     let mut now = 1 << 30;
@@ -721,7 +734,7 @@
     assert_eq!((lines[4], lines[39]), ((5, 5), (1, 1)), "{lines:?}");
     for n in 0..3 {
         let most = linenhill_decisions::shares::Need { in_use: u64::MAX, demand: u64::MAX };
-        let ask = Ask { seq: 1, acked: 0, needs: [("links/m0".to_string(), most)].into() };
+        let ask = Ask { seq: 1, needs: [("links/m0".to_string(), most)].into(), ..Ask::default() };
         let (version, zone) = (String::new(), String::new());
         let command = Command::Ask { name: format!("q{n}"), incarnation: 7 + n, version, zone, ask };
         let shares = table.apply(0, vec![command])[0].answer.clone().expect("a grant").shares;
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -29,6 +29,8 @@
     Probes,
     /// Requests of one class that are let in.
     Admissions,
+    /// What each proxy counts as its part of the work of all.
+    Load,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -43,6 +45,8 @@
     terms: Option<TermsDoc>,
     #[prost(message, repeated, tag = "5")]
     budget: Vec<BudgetDoc>,
+    #[prost(uint64, tag = "6")]
+    revision: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -148,6 +152,8 @@
     pub budgets: Budgets,
     /// What they bound.
     pub bindings: Vec<Binding>,
+    /// Which edition of terms and budgets it is: one that is not higher than that agreed on changes nothing.
+    pub revision: u64,
 }
 
 /// One mistake in the file.
@@ -331,11 +337,12 @@
             3 => (What::Repeats, true),
             4 => (What::Probes, true),
             5 => (What::Admissions, true),
+            6 => (What::Load, false),
             _ => {
                 wrong(
                     line,
                     field("what"),
-                    "CONNECTIONS, ATTEMPTS, REPEATS, PROBES or ADMISSIONS is expected",
+                    "CONNECTIONS, ATTEMPTS, REPEATS, PROBES, ADMISSIONS or LOAD is expected",
                 );
                 continue;
             }
@@ -352,7 +359,11 @@
                     wrong(line, field("held.outlives_ms"), "1 to 3600000 is expected");
                 }
                 let outlives_us = held.outlives_ms.saturating_mul(1_000);
-                Budget { whole: held.units, floor: b.floor, burst: 0, outlives_us, each: true }
+                if what == What::Load && b.floor == 0 {
+                    wrong(line, field("floor"), "at least 1 is expected for LOAD");
+                }
+                let each = what != What::Load;
+                Budget { whole: held.units, floor: b.floor, burst: 0, outlives_us, each }
             }
             (None, Some(rate), true) => {
                 if rate.per_second == 0 || rate.per_second > 1 << 32 {
@@ -394,5 +405,6 @@
         },
         budgets,
         bindings,
+        revision: doc.revision,
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -78,6 +78,12 @@
         #[arg(long, value_name = "FILE")]
         operator: PathBuf,
     },
+    /// Declare a file's terms and budgets in the place of those agreed on; its revision must be higher.
+    Declare {
+        /// The operators' file.
+        #[arg(long, value_name = "FILE")]
+        operator: PathBuf,
+    },
     /// Let another store of a keeper's name in: its disk is lost.
     Replace {
         /// Its name.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,8 @@
     repeats: Vec<String>,
     probes: Vec<String>,
     admissions: BTreeMap<ClassId, Vec<String>>,
+    /// With the whole.
+    load: Option<(String, u64)>,
 }
 
 /// What this proxy may use of the fleet's budgets; by default nothing binds.
@@ -50,7 +52,11 @@
         }
         let (connections, attempts) = (named(What::Connections), named(What::Attempts));
         let (repeats, probes) = (named(What::Repeats), named(What::Probes));
-        Ok(Shares(Some(Rc::new(Bound { fleet, connections, attempts, repeats, probes, admissions }))))
+        let load = named(What::Load).into_iter().next().and_then(|name| {
+            let whole = fleet.operator().budgets.get(&name)?.whole;
+            Some((name, whole))
+        });
+        Ok(Shares(Some(Rc::new(Bound { fleet, connections, attempts, repeats, probes, admissions, load }))))
     }
 
     /// Says which members there are: of each there are budgets of its own.
@@ -119,6 +125,22 @@
         self.spent(|b| b.admissions.get(&class).map_or(&[][..], Vec::as_slice))
     }
 
+    /// The part of the work of all that this proxy may count as its own now, where that is agreed on.
+    pub fn part(&self) -> Option<f64> {
+        let bound = self.0.as_ref()?;
+        let (load, whole) = bound.load.as_ref()?;
+        Some(bound.fleet.limit(load)? as f64 / (*whole).max(1) as f64)
+    }
+
+    /// There is work here.
+    pub fn work(&self) {
+        if let Some(bound) = &self.0
+            && let Some((load, whole)) = &bound.load
+        {
+            bound.fleet.want(load, *whole);
+        }
+    }
+
     /// Returns when shares changed; never where nothing binds.
     pub async fn changed(&self) {
         match &self.0 {
--- a/src/fleet/tools.rs
+++ b/src/fleet/tools.rs
@@ -2,6 +2,7 @@
 
 use crate::cli::Fleet;
 use linenhill_cluster::link::{self, Identity};
+use linenhill_cluster::node::declaration;
 use linenhill_cluster::wire::{Body, Done, Operate, Status, StatusAsk};
 use linenhill_settings::operator::{self, Mistake, Operator};
 use miniserde::Serialize;
@@ -92,6 +93,11 @@
         Fleet::Remove { name, operator } => {
             tell(&read(&operator)?, Operate { remove: name, ..Operate::default() }).await
         }
+        Fleet::Declare { operator } => {
+            let operator = read(&operator)?;
+            let declare = Some(declaration(&operator));
+            tell(&operator, Operate { declare, ..Operate::default() }).await
+        }
         Fleet::Replace { name, operator } => {
             tell(&read(&operator)?, Operate { replace: name, ..Operate::default() }).await
         }
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -118,6 +118,7 @@
                     let _ = reply.send(Answer::Refused { retry_after: Some(COME_BACK) });
                     return;
                 }
+                self.shares.work();
                 self.relay.owe(request.id, reply, deadline + OVERDUE);
                 self.sender.keep(request.id, payload, deadline);
                 self.handle(Event::Request(request));
@@ -225,6 +226,9 @@
 
     fn handle(&mut self, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
+        if let Some(part) = self.shares.part() {
+            self.router.hold_part(part);
+        }
         self.router.handle(self.clock.now(), event, &mut actions);
         for action in actions.drain(..) {
             self.act(action);
