A laboratory plays keepers and proxies under virtual time, and measures budgets

Need: 10,000 histories, 300 and 2,000 proxies can't be processes. crates/lab plays the real nodes, their engine and store on a disk in memory that can be full or fail, proxies' holders and seekers, clocks at the edge of the bound, and a network that loses, doubles, delays and cuts, by seed. `linenhill-lab divide|cost` measures; `make toy-fleet` starts a toy fleet of three keepers and three proxies.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. `make run` needs the toy of `make toy` in another terminal.
-.PHONY: build test lint run toy proof-budgets
+.PHONY: build test lint run toy toy-fleet proof-budgets measure-budgets
 
 build:
 	cargo build --release --locked
@@ -17,9 +17,23 @@
 toy:
 	cargo run --release --locked --example toy
 
+# The toy, three keepers and three proxies that divide budgets; ends with Ctrl-C.
+toy-fleet: build
+	cargo build --release --locked --example toy
+	cargo run --release --locked --example fleet
+
 # Longer than every landing's tests: more sequences of faults over more processes, all orders of three requests, and
-# every planted fault. LINENHILL_SEED and LINENHILL_SEQUENCES choose.
+# every planted fault. LINENHILL_SEED, LINENHILL_SEQUENCES and LINENHILL_HISTORIES choose.
 proof-budgets:
+	LINENHILL_HISTORIES=$${LINENHILL_HISTORIES:-10000} cargo test --locked --release -p linenhill-lab
+	cargo test --locked --release -p linenhill-lab --features planted-faults planted -- --nocapture
 	LINENHILL_LONG=1 cargo test --locked --release -p linenhill-decisions --features planted-faults --test shares
 	LINENHILL_SEQUENCES=$${LINENHILL_SEQUENCES:-200} cargo test --locked --release --test fleet members -- --nocapture
 	cargo test --locked --release --features planted-faults --test fleet planted
+
+# What budgets give and cost, under virtual time: the same figures every time, but for the real time they take.
+measure-budgets:
+	cargo run --release --locked -p linenhill-lab -- divide --proxies 10
+	cargo run --release --locked -p linenhill-lab -- divide --proxies 100
+	cargo run --release --locked -p linenhill-lab -- cost --proxies 300
+	cargo run --release --locked -p linenhill-lab -- cost --proxies 2000 --lease 10
