--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -1,8 +1,9 @@
 //! Connections between instances: who may come, what they say, and one connection to each other keeper.
 
-use crate::wire::{Body, Envelope, EnvelopeCodec, StatusAsk, VERSION};
+use crate::wire::{Body, Done, Envelope, EnvelopeCodec, Operate, StatusAsk, VERSION};
 use futures_util::{SinkExt, StreamExt};
 use ipnet::IpNet;
+use linenhill_settings::operator::Keeper;
 use log::{info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -151,6 +152,23 @@
     }
 }
 
+/// Tells the keepers something, in turn until one that leads has done it: what it says, or what the last one said.
+pub async fn tell(keepers: &[Keeper], identity: &Identity, operate: Operate) -> Result<Done, String> {
+    let mut last = Err("there is no keeper".to_string());
+    for keeper in keepers {
+        match call(keeper.address, identity.say(0, Body::Operate(operate.clone()))).await {
+            Ok(Envelope { body: Some(Body::Done(done)), .. }) if done.ok => return Ok(done),
+            Ok(Envelope { body: Some(Body::Done(done)), .. }) if done.elsewhere => {
+                last = last.or(Err(format!("{}: {}", keeper.name, done.text)));
+            }
+            Ok(Envelope { body: Some(Body::Done(done)), .. }) => last = Ok(done),
+            Ok(_) => last = last.or(Err(format!("{}: an answer that is none", keeper.name))),
+            Err(problem) => last = last.or(Err(format!("{}: {problem}", keeper.name))),
+        }
+    }
+    last
+}
+
 /// Where to send to another keeper.
 #[derive(Clone)]
 pub struct Peer {
--- a/crates/cluster/src/member.rs
+++ b/crates/cluster/src/member.rs
@@ -5,8 +5,11 @@
 
 use crate::clock;
 use crate::link::{self, Identity, Incoming};
-use crate::wire::{Body, BudgetStatus, Envelope, EnvelopeCodec, ProxyAsk, Status};
+use crate::state::OutageDoc;
+use crate::wire::{Body, BudgetStatus, Done, Envelope, EnvelopeCodec, Granted, Operate, ProxyAsk, Status};
 use futures_util::{SinkExt, StreamExt};
+use linenhill_decisions::outages::reporter::Reporter;
+use linenhill_decisions::outages::{Cause, Fence, Sight};
 use linenhill_decisions::shares::holder::{Holder, Leave};
 use linenhill_decisions::shares::seeking::Seeking;
 use linenhill_settings::operator::Operator;
@@ -16,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
@@ -35,6 +38,8 @@
     answered: Cell<u64>,
     wake: Notify,
     changed: Notify,
+    reporter: RefCell<Reporter>,
+    fence: watch::Sender<Fence>,
 }
 
 impl Fleet {
@@ -60,6 +65,8 @@
             answered: Cell::new(clock::now()),
             wake: Notify::new(),
             changed: Notify::new(),
+            reporter: RefCell::default(),
+            fence: watch::channel(Fence::default()).0,
         })
     }
 
@@ -158,7 +165,8 @@
                     let ask = self.holder.borrow_mut().ask(clock::now());
                     seeking.asked(clock::now());
                     let (version, zone) = (self.version.clone(), self.operator.zone.clone());
-                    let envelope = self.identity().say(0, Body::Ask(ProxyAsk { ask, version, zone }));
+                    let report = self.bounds_outages().then(|| self.reporter.borrow_mut().report(ask.seq));
+                    let envelope = self.identity().say(0, Body::Ask(ProxyAsk { ask, version, zone, report }));
                     let within = Duration::from_micros(seeking.patience());
                     if !matches!(timeout(within, open.send(envelope)).await, Ok(Ok(()))) {
                         pause = Some(seeking.lost(fastrand::f64()));
@@ -189,10 +197,14 @@
 
     fn on_answer(&self, envelope: Envelope) -> Answer {
         match envelope.body {
-            Some(Body::Granted(grant)) => {
+            Some(Body::Granted(Granted { grant, fence })) => {
+                let seq = grant.seq;
                 if !self.holder.borrow_mut().granted(clock::now(), grant) {
                     return Answer::Nothing;
                 }
+                if let Some(newer) = self.reporter.borrow_mut().granted(seq, fence) {
+                    self.fence.send_replace(newer);
+                }
                 self.answered.set(clock::now());
                 if *self.leader.borrow() != envelope.from {
                     info!("fleet: leader {}", envelope.from);
@@ -212,6 +224,7 @@
                     let next = Identity { incarnation, ..Identity::clone(&self.identity()) };
                     self.identity.replace(Rc::new(next));
                     self.holder.borrow_mut().supersede(clock::now());
+                    self.reporter.borrow_mut().begin_anew();
                     self.changed.notify_one();
                 }
                 Answer::Nothing
@@ -220,6 +233,57 @@
         }
     }
 
+    /// This instance's name.
+    pub fn name(&self) -> String {
+        self.identity().name.clone()
+    }
+
+    /// How often what is held is renewed.
+    pub fn renews_every(&self) -> Duration {
+        Duration::from_micros(self.operator.terms.lease_us / 3)
+    }
+
+    /// Whether the operators' file bounds what is out.
+    pub fn bounds_outages(&self) -> bool {
+        self.operator.outages.is_some()
+    }
+
+    /// Whether clients are served: a proxy that is a member no more can't know who is out, nor that it is counted.
+    pub fn serves(&self) -> bool {
+        !self.bounds_outages() || clock::now() < self.holder.borrow().held_until().1
+    }
+
+    /// How this process is.
+    pub fn own(&self, cause: Cause) {
+        if self.reporter.borrow_mut().own(cause) {
+            self.holder.borrow_mut().hurry();
+            self.wake.notify_one();
+        }
+    }
+
+    /// How members are seen.
+    pub fn see(&self, sights: BTreeMap<String, Sight>) {
+        self.reporter.borrow_mut().see(sights);
+    }
+
+    /// To whom nothing new may be sent, now and from then on.
+    pub fn fences(&self) -> watch::Receiver<Fence> {
+        self.fence.subscribe()
+    }
+
+    /// That edition of the fence is carried out.
+    pub fn carried(&self, edition: u64) {
+        self.reporter.borrow_mut().carried(edition);
+        self.holder.borrow_mut().hurry();
+        self.wake.notify_one();
+    }
+
+    /// Wishes something of the keepers: what the leader says, or what each of them said.
+    pub async fn wish(&self, outage: OutageDoc) -> Result<Done, String> {
+        let operate = Operate { outage: Some(outage), ..Operate::default() };
+        link::tell(&self.operator.keepers, &self.identity(), operate).await
+    }
+
     /// Answers operators who ask this proxy for its state.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let (inbox, mut came) = mpsc::channel::<Incoming>(INBOX);
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -6,11 +6,16 @@
 //! became leader: time of log stands still while nobody leads, so nothing that was granted is over too early.
 
 use crate::link::Identity;
-use crate::state::{AskDoc, CommandDoc, DeclareDoc, Entry, KeeperSeat, State, Which};
+use crate::state::{
+    AskDoc, CommandDoc, DeclareDoc, Entry, KeeperSeat, OutageDoc, Outcome, State, Told, Which,
+};
 use crate::store::{self, Batch, Disk, DiskError};
 use crate::wire::{
-    Body, BudgetStatus, Done, Elsewhere, Envelope, Join, Operate, ProxyAsk, Refused, SeatStatus, Status,
+    Body, BudgetStatus, Done, Elsewhere, Envelope, Granted, Join, Operate, OutStatus, ProxyAsk, Refused,
+    SeatStatus, Status,
 };
+use linenhill_decisions::outages::Cause;
+use linenhill_decisions::outages::table::{Permit, Seen};
 use linenhill_decisions::roster::Unseated;
 use linenhill_decisions::shares::table::Effect;
 use linenhill_settings::operator::Operator;
@@ -43,6 +48,8 @@
 /// Longest request, and the longest entry but for one request more, in bytes: frames must carry it.
 const ASK_MOST: usize = 256 << 10;
 const ENTRY_MOST: usize = 1 << 20;
+/// Longest wish of operators, in bytes.
+const WISH_MOST: usize = 4_096;
 /// Others that are talked to.
 const PEERS_MOST: usize = 16;
 /// How often a newcomer asks to be a keeper, in ticks.
@@ -119,8 +126,8 @@
 
 /// The budgets of a file, as they are declared to the leader.
 pub fn declaration(operator: &Operator) -> DeclareDoc {
-    let Operator { terms, budgets, revision, .. } = operator;
-    DeclareDoc { terms: *terms, budgets: budgets.clone(), revision: *revision }
+    let Operator { terms, budgets, revision, outages, .. } = operator;
+    DeclareDoc { terms: *terms, budgets: budgets.clone(), revision: *revision, outages: *outages }
 }
 
 /// What comes to a keeper; `R` is where an answer goes.
@@ -150,6 +157,8 @@
     incarnation: u64,
     seq: u64,
     since: u64,
+    /// The edition of the fence that it goes by.
+    fenced: u64,
     reply: R,
 }
 
@@ -176,6 +185,8 @@
     news: u64,
     led: Option<String>,
     ticks: u64,
+    /// Wishes so far.
+    tickets: u64,
 }
 
 impl<R> Node<R> {
@@ -223,6 +234,7 @@
             news: now,
             led: None,
             ticks: 0,
+            tickets: 0,
         };
         node.meet();
         Ok(node)
@@ -324,7 +336,7 @@
                 info!("fleet: {} lets this keeper in", answer.from);
                 self.engine.mut_store().found(answer.founding)?;
             }
-            Some(Body::Done(Done { ok: false, text })) => warn!("fleet: {}: {text}", answer.from),
+            Some(Body::Done(Done { ok: false, text, .. })) => warn!("fleet: {}: {text}", answer.from),
             _ => {}
         }
         Ok(())
@@ -417,9 +429,11 @@
                 self.answer(reply, 0, Body::Status(status));
             }
             Some(Body::Join(join)) => self.on_join(&from, incarnation, &join, reply),
+            Some(Body::Operate(Operate { outage: Some(wish), .. })) if self.leads() => self.wish(wish, reply),
             Some(Body::Operate(operate)) => {
+                let elsewhere = !self.leads();
                 let (ok, text) = self.operate(&operate);
-                self.answer(reply, 0, Body::Done(Done { ok, text }));
+                self.answer(reply, 0, Body::Done(Done { ok, text, elsewhere, ..Done::default() }));
             }
             _ => {}
         }
@@ -438,7 +452,8 @@
             self.answer(reply, 0, Body::Refused(refused));
             return;
         }
-        self.waiting.push_back(Waiting { incarnation, seq, since: self.now, reply });
+        let fenced = ask.report.as_ref().map_or(0, |r| r.fenced);
+        self.waiting.push_back(Waiting { incarnation, seq, since: self.now, fenced, reply });
         self.commands.push_back(doc(Which::Ask(AskDoc { name, incarnation, ask })));
     }
 
@@ -469,7 +484,19 @@
                 }
             }
         };
-        self.answer(reply, self.founding(), Body::Done(Done { ok, text }));
+        self.answer(reply, self.founding(), Body::Done(Done { ok, text, ..Done::default() }));
+    }
+
+    /// A wish is answered once its entry is applied.
+    fn wish(&mut self, wish: OutageDoc, reply: R) {
+        if wish.encoded_len() > WISH_MOST || self.waiting.len() >= WAITING {
+            let text = format!("a wish of over {WISH_MOST} bytes, or too many at once");
+            return self.answer(reply, 0, Body::Done(Done { text, ..Done::default() }));
+        }
+        self.tickets += 1;
+        let ticket = fastrand::Rng::with_seed(self.chance ^ self.tickets).u64(1..u64::MAX);
+        self.waiting.push_back(Waiting { incarnation: ticket, seq: 0, since: self.now, fenced: 0, reply });
+        self.commands.push_back(CommandDoc { which: Some(Which::Outage(wish)), ticket });
     }
 
     fn operate(&mut self, operate: &Operate) -> (bool, String) {
@@ -602,7 +629,12 @@
                 EntryType::EntryNormal if entry.data.is_empty() => {}
                 EntryType::EntryNormal => {
                     let effects = self.state.apply(&entry.data);
-                    effects.into_iter().for_each(|effect| self.tell(effect));
+                    for outcome in effects {
+                        match outcome {
+                            Outcome::Share(effect) => self.tell(effect),
+                            Outcome::Told(told) => self.tell_wish(told),
+                        }
+                    }
                 }
                 EntryType::EntryConfChange => {
                     let Ok(change) = ConfChange::parse_from_bytes(&entry.data) else { continue };
@@ -634,7 +666,11 @@
         let Some(place) = self.waiting.iter().position(mine) else { return };
         let Some(waiting) = self.waiting.remove(place) else { return };
         let body = match answer {
-            Ok(grant) => Body::Granted(grant),
+            Ok(grant) => {
+                let fence = self.state.outages.fence();
+                let fence = Some(fence).filter(|f| f.edition > waiting.fenced);
+                Body::Granted(Granted { grant, fence })
+            }
             Err(problem) => {
                 let superseded = matches!(problem, Unseated::Superseded);
                 if !matches!(problem, Unseated::Old | Unseated::Taken) {
@@ -647,6 +683,21 @@
         self.answer(waiting.reply, 0, body);
     }
 
+    fn tell_wish(&mut self, told: Told) {
+        let mine = |w: &Waiting<R>| w.incarnation == told.ticket && w.seq == 0;
+        let Some(waiting) = self.waiting.iter().position(mine).and_then(|at| self.waiting.remove(at)) else {
+            return;
+        };
+        let seats = &self.state.table.roster.seats;
+        let name = |i: &u64| seats.iter().find(|(_, s)| s.incarnation == *i).map(|(name, _)| name.clone());
+        let unconfirmed = told.unconfirmed.iter().filter_map(name).collect();
+        self.answer(
+            waiting.reply,
+            0,
+            Body::Done(Done { ok: told.ok, text: told.text, unconfirmed, elsewhere: false }),
+        );
+    }
+
     /// What operators are told.
     pub fn status(&self) -> Status {
         let role = match self.engine.raft.state {
@@ -671,6 +722,13 @@
             counted: line.counted(now),
             in_use: line.holdings.values().map(|h| h.in_use).sum(),
         };
+        let outages = &self.state.outages;
+        let out = |(thing, cause): (String, Cause)| {
+            let permit = outages.things.get(&thing).and_then(|k| k.permit.clone()).unwrap_or_default();
+            let Permit { number, by, reason, forced, .. } = permit;
+            OutStatus { thing, cause: cause.word().to_string(), permit: number, by, reason, forced }
+        };
+        let out = outages.out(&Seen::new(&table.roster, lease)).into_iter().map(out).collect();
         Status {
             role: role.to_string(),
             leader: self.leader(),
@@ -680,12 +738,13 @@
             seats: table.roster.seats.iter().map(seat).collect(),
             budgets: table.lines.iter().map(budget).collect(),
             news_ms: self.now.saturating_sub(self.news) / 1_000,
+            out,
         }
     }
 }
 
 fn doc(which: Which) -> CommandDoc {
-    CommandDoc { which: Some(which) }
+    CommandDoc { which: Some(which), ticket: 0 }
 }
 
 /// The engine's word on the term of an entry, 0 where it has none.
--- a/crates/cluster/src/state.rs
+++ b/crates/cluster/src/state.rs
@@ -1,6 +1,8 @@
-//! What the entries of the agreed log make of the state: the table of shares, and who the keepers are.
+//! What the entries of the agreed log make of the state: the table of shares, who is out, and who the keepers are.
 
 use crate::wire::ProxyAsk;
+use linenhill_decisions::outages::table::{Denied, Outages, Permit, Seen};
+use linenhill_decisions::outages::{Limits, Thing};
 use linenhill_decisions::roster::Terms;
 use linenhill_decisions::shares::Budgets;
 use linenhill_decisions::shares::table::{Command, Effect, Table};
@@ -22,8 +24,11 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct CommandDoc {
     /// Which.
-    #[prost(oneof = "Which", tags = "1, 2, 3")]
+    #[prost(oneof = "Which", tags = "1, 2, 3, 4")]
     pub which: Option<Which>,
+    /// By this whoever asked is found again; 0 where nobody waits.
+    #[prost(uint64, tag = "15")]
+    pub ticket: u64,
 }
 
 /// The commands as they are written.
@@ -38,6 +43,63 @@
     /// See [`Command::Remove`].
     #[prost(string, tag = "3")]
     Remove(String),
+    /// Of what may be out.
+    #[prost(message, tag = "4")]
+    Outage(OutageDoc),
+}
+
+/// What is asked of a thing that may be out.
+#[derive(Clone, PartialEq, Message)]
+pub struct OutageDoc {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub thing: String,
+    /// [`Wish`].
+    #[prost(enumeration = "Wish", tag = "2")]
+    pub wish: i32,
+    /// Who asks.
+    #[prost(string, tag = "3")]
+    pub by: String,
+    /// What for.
+    #[prost(string, tag = "4")]
+    pub reason: String,
+    /// Against the limits.
+    #[prost(bool, tag = "5")]
+    pub force: bool,
+}
+
+/// What can be wished of a thing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Wish {
+    /// Leave to be out.
+    Permit = 0,
+    /// That it comes back.
+    Back = 1,
+    /// That nothing is known of it any more.
+    Forget = 2,
+}
+
+/// What came of a wish.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Whose it was.
+    pub ticket: u64,
+    /// It was granted.
+    pub ok: bool,
+    /// Who still has to confirm it, by incarnation.
+    pub unconfirmed: Vec<u64>,
+    /// In words.
+    pub text: String,
+}
+
+/// What an entry led to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// A request for shares.
+    Share(Effect),
+    /// A wish.
+    Told(Told),
 }
 
 /// Budgets and terms.
@@ -52,6 +114,9 @@
     /// Which edition of them.
     #[prost(uint64, tag = "3")]
     pub revision: u64,
+    /// What may be out at once, if that is bounded.
+    #[prost(message, optional, tag = "4")]
+    pub outages: Option<Limits>,
 }
 
 /// A request.
@@ -88,25 +153,51 @@
     /// The keepers by number.
     #[prost(btree_map = "uint64, message", tag = "2")]
     pub keepers: BTreeMap<u64, KeeperSeat>,
+    /// Who is out.
+    #[prost(message, required, tag = "3")]
+    pub outages: Outages,
 }
 
 impl State {
     /// Takes an entry in; one that can't be read changes nothing, at any keeper.
-    pub fn apply(&mut self, data: &[u8]) -> Vec<Effect> {
+    pub fn apply(&mut self, data: &[u8]) -> Vec<Outcome> {
         let Ok(entry) = Entry::decode(data) else { return Vec::new() };
-        let command = |doc: CommandDoc| {
-            Some(match doc.which? {
-                Which::Declare(DeclareDoc { terms, budgets, revision }) => {
-                    Command::Declare { terms, budgets, revision }
+        let (mut commands, mut reports, mut wishes) = (Vec::new(), Vec::new(), Vec::new());
+        for doc in entry.commands {
+            match doc.which {
+                Some(Which::Declare(DeclareDoc { terms, budgets, revision, outages })) => {
+                    if self.table.takes(revision) {
+                        self.outages.limit(outages);
+                    }
+                    commands.push(Command::Declare { terms, budgets, revision });
+                }
+                Some(Which::Ask(AskDoc { name, incarnation, ask })) => {
+                    let ProxyAsk { ask, version, zone, report } = ask;
+                    reports.push((name.clone(), incarnation, zone.clone(), report));
+                    commands.push(Command::Ask { name, incarnation, version, zone, ask });
                 }
-                Which::Ask(AskDoc { name, incarnation, ask: ProxyAsk { ask, version, zone } }) => {
-                    Command::Ask { name, incarnation, version, zone, ask }
+                Some(Which::Remove(name)) => {
+                    self.outages.forget(&Thing::Proxy(name.clone()));
+                    commands.push(Command::Remove { name });
                 }
-                Which::Remove(name) => Command::Remove { name },
-            })
-        };
-        let commands = entry.commands.into_iter().filter_map(command).collect();
-        self.table.apply(entry.elapsed_us, commands)
+                Some(Which::Outage(wish)) => wishes.push((doc.ticket, wish)),
+                None => {}
+            }
+        }
+        let effects = self.table.apply(entry.elapsed_us, commands);
+        let terms = self.table.terms;
+        let seen = Seen::new(&self.table.roster, terms.stretched(terms.lease_us));
+        for (name, incarnation, zone, report) in reports {
+            let seated = self.table.roster.seats.get(&name).is_some_and(|s| s.incarnation == incarnation);
+            if let Some(report) = report.filter(|_| seated) {
+                self.outages.heard(&seen, &name, incarnation, &zone, &report);
+            }
+        }
+        self.outages.tidy(&seen);
+        let outages = &mut self.outages;
+        let told = wishes.into_iter().map(|(ticket, wish)| wished(outages, &seen, ticket, &wish));
+        let told: Vec<Outcome> = told.map(Outcome::Told).collect();
+        effects.into_iter().map(Outcome::Share).chain(told).collect()
     }
 
     /// The number of a keeper.
@@ -114,3 +205,41 @@
         self.keepers.iter().find(|(_, k)| k.name == name).map(|(id, _)| *id)
     }
 }
+
+fn wished(outages: &mut Outages, seen: &Seen, ticket: u64, wish: &OutageDoc) -> Told {
+    let no = |text: String| Told { ticket, ok: false, unconfirmed: Vec::new(), text };
+    let done = |ok, text: &str| Told { ticket, ok, unconfirmed: Vec::new(), text: text.to_string() };
+    if outages.limits.is_none() {
+        return no("the agreed file bounds no outages".into());
+    }
+    let Some(thing) = Thing::of(&wish.thing) else {
+        return no(format!("'{}' is neither proxy/NAME nor member/ID", wish.thing));
+    };
+    match Wish::try_from(wish.wish) {
+        Ok(Wish::Permit) => match outages.permit(seen, &thing, &wish.by, &wish.reason, wish.force) {
+            Ok(Permit { number, unconfirmed, .. }) => {
+                let text = format!("permit {number} for {}", wish.thing);
+                Told { ticket, ok: true, unconfirmed, text }
+            }
+            Err(denied) => no(denial(&wish.thing, &denied)),
+        },
+        Ok(Wish::Back) if outages.back(&thing) => done(true, "its permit ends once it is seen in service"),
+        Ok(Wish::Back) => done(true, "it has no permit"),
+        Ok(Wish::Forget) if outages.forget(&thing) => done(true, "nothing is known of it any more"),
+        Ok(Wish::Forget) => done(false, "nothing was known of it"),
+        Err(_) => done(false, "this keeper's version does not know that wish"),
+    }
+}
+
+fn denial(thing: &str, denied: &Denied) -> String {
+    match denied {
+        Denied::Unknown => format!("no proxy has spoken of {thing}"),
+        Denied::Held { by } => format!("{by} has leave for {thing} already"),
+        Denied::Primary => format!("{thing} is its group's primary: it hands over first"),
+        Denied::Limit { what, out } => {
+            let who: Vec<String> = out.iter().map(|(key, cause)| format!("{key} {}", cause.word())).collect();
+            let who = if who.is_empty() { "nobody is out".to_string() } else { who.join(", ") };
+            format!("no more {what}: {who}")
+        }
+    }
+}
--- a/crates/cluster/src/wire.rs
+++ b/crates/cluster/src/wire.rs
@@ -1,6 +1,8 @@
 //! What instances say to each other: frames of a length and an [`Envelope`], bounded.
 
+use crate::state::{DeclareDoc, OutageDoc};
 use bytes::{Buf, Bytes, BytesMut};
+use linenhill_decisions::outages::{Fence, Report};
 use linenhill_decisions::shares::{Ask, Grant};
 use prost::Message;
 use std::fmt;
@@ -48,7 +50,7 @@
     Ask(ProxyAsk),
     /// What it is granted.
     #[prost(message, tag = "12")]
-    Granted(Grant),
+    Granted(Granted),
     /// It is not let in.
     #[prost(message, tag = "13")]
     Refused(Refused),
@@ -90,6 +92,20 @@
     /// Its zone.
     #[prost(string, tag = "3")]
     pub zone: String,
+    /// How it is, and how it sees members.
+    #[prost(message, optional, tag = "4")]
+    pub report: Option<Report>,
+}
+
+/// What a proxy is granted, and what binds all of them.
+#[derive(Clone, PartialEq, Message)]
+pub struct Granted {
+    /// Its shares.
+    #[prost(message, required, tag = "1")]
+    pub grant: Grant,
+    /// Members to which nothing new may be sent, if the proxy goes by an older edition.
+    #[prost(message, optional, tag = "2")]
+    pub fence: Option<Fence>,
 }
 
 /// Why an instance is not let in.
@@ -140,7 +156,10 @@
     pub replace: String,
     /// These budgets, in the place of those agreed on.
     #[prost(message, optional, tag = "3")]
-    pub declare: Option<crate::state::DeclareDoc>,
+    pub declare: Option<DeclareDoc>,
+    /// Something of a thing that may be out.
+    #[prost(message, optional, tag = "4")]
+    pub outage: Option<OutageDoc>,
 }
 
 /// What came of something.
@@ -152,6 +171,12 @@
     /// In words.
     #[prost(string, tag = "2")]
     pub text: String,
+    /// Proxies that still have to confirm it.
+    #[prost(string, repeated, tag = "3")]
+    pub unconfirmed: Vec<String>,
+    /// Nothing was decided: another keeper leads.
+    #[prost(bool, tag = "4")]
+    pub elsewhere: bool,
 }
 
 /// An instance's state.
@@ -181,6 +206,32 @@
     /// Since the last news of the log, in milliseconds.
     #[prost(uint64, tag = "8")]
     pub news_ms: u64,
+    /// What is out, or has leave to be.
+    #[prost(message, repeated, tag = "9")]
+    pub out: Vec<OutStatus>,
+}
+
+/// Something that is out, in words.
+#[derive(Clone, PartialEq, Message)]
+pub struct OutStatus {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub thing: String,
+    /// Why.
+    #[prost(string, tag = "2")]
+    pub cause: String,
+    /// The number of its permit; 0 without one.
+    #[prost(uint64, tag = "3")]
+    pub permit: u64,
+    /// Who asked for it.
+    #[prost(string, tag = "4")]
+    pub by: String,
+    /// What for.
+    #[prost(string, tag = "5")]
+    pub reason: String,
+    /// Against the limits.
+    #[prost(bool, tag = "6")]
+    pub forced: bool,
 }
 
 /// A seat in words.
--- a/crates/decisions/src/lifecycle.rs
+++ b/crates/decisions/src/lifecycle.rs
@@ -90,6 +90,11 @@
         self.0 == State::Serving
     }
 
+    /// Whether the process stops.
+    pub fn stops(&self) -> bool {
+        matches!(self.0, State::Stopping { .. })
+    }
+
     /// How clients are treated now. A stop leaves the front's question answered as it was: what the front then sends
     /// is still served, or its successor serves at the same address.
     pub fn view(&self, now: Time) -> View {
--- a/crates/decisions/src/maintenance.rs
+++ b/crates/decisions/src/maintenance.rs
@@ -2,7 +2,7 @@
 //! them. Pure records; the newest word on a member counts, so that two processes that exchange theirs agree.
 
 use crate::api::{GroupId, MemberState, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// So many members are known; far more than any list holds.
 const KNOWN_MOST: usize = 4_096;
@@ -50,6 +50,8 @@
 pub struct Maintenance {
     words: BTreeMap<String, Word>,
     known: BTreeMap<String, Known>,
+    /// Who is out by leave of the whole fleet.
+    fenced: BTreeSet<String>,
 }
 
 impl Maintenance {
@@ -84,6 +86,7 @@
 
     fn shown(&self, id: &str, started: Option<Time>) -> Shown {
         match self.words.get(id) {
+            _ if self.fenced.contains(id) => Shown::Out,
             Some(Word { out: true, .. }) => Shown::Out,
             // It was restarted while it was out, whatever the list says and however late.
             Some(back) => Shown::Listed(started.max(Some(back.at))),
@@ -137,7 +140,27 @@
 
     /// Whether operators have taken a member out.
     pub fn is_out(&self, id: &str) -> bool {
-        self.words.get(id).is_some_and(|word| word.out)
+        self.words.get(id).is_some_and(|word| word.out) || self.fenced.contains(id)
+    }
+
+    /// The fleet says who is out, in the place of all before: whose standing changed. Whoever comes back counts as started
+    /// now, as after a word of operators.
+    pub fn fence(&mut self, now: Time, members: BTreeSet<String>) -> Vec<String> {
+        let back: Vec<String> = self.fenced.difference(&members).cloned().collect();
+        for id in &back {
+            let out = self.words.get(id).is_some_and(|word| word.out);
+            if !out && self.room() {
+                self.words.insert(id.clone(), Word { at: now, out: false });
+            }
+        }
+        let changed = members.difference(&self.fenced).cloned().chain(back).collect();
+        self.fenced = members;
+        changed
+    }
+
+    /// Who is known, with the group, and whether a list names it now.
+    pub fn known(&self) -> impl Iterator<Item = (&str, GroupId, bool)> {
+        self.known.iter().map(|(id, known)| (id.as_str(), known.group, known.listed))
     }
 
     /// Whether operators have taken out all that a group has: nothing can be served there before one of their calls.
--- a/crates/decisions/src/planted.rs
+++ b/crates/decisions/src/planted.rs
@@ -16,11 +16,17 @@
     FreedEarly,
     /// A floor counts no longer than a share.
     FloorTwice,
+    /// Whoever is not heard of does not count as out.
+    DeadUncounted,
+    /// What is out by force does not count.
+    ForceUncounted,
+    /// A member's exclusion is confirmed before every proxy has.
+    FenceUnconfirmed,
 }
 
 impl Fault {
-    /// All of them, with the names by which they are chosen.
-    pub const ALL: [(Fault, &str); 6] = [
+    /// Those of shares, with the names by which they are chosen.
+    pub const SHARES: [(Fault, &str); 6] = [
         (Fault::NoDriftMargin, "no-drift-margin"),
         (Fault::LeaseFromReceipt, "lease-from-receipt"),
         (Fault::RoundingUp, "rounding-up"),
@@ -28,6 +34,19 @@
         (Fault::FreedEarly, "freed-early"),
         (Fault::FloorTwice, "floor-twice"),
     ];
+
+    /// Those of permits to be out.
+    pub const OUTAGES: [(Fault, &str); 3] = [
+        (Fault::DeadUncounted, "dead-uncounted"),
+        (Fault::ForceUncounted, "force-uncounted"),
+        (Fault::FenceUnconfirmed, "fence-unconfirmed"),
+    ];
+
+    /// The fault of a name.
+    pub fn named(name: &str) -> Option<Fault> {
+        let all = Fault::SHARES.iter().chain(&Fault::OUTAGES);
+        all.copied().find(|(_, known)| *known == name).map(|(fault, _)| fault)
+    }
 }
 
 #[cfg(feature = "planted-faults")]
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -4,6 +4,7 @@
 use crate::api::*;
 use crate::asking::Asking;
 use crate::outage::{Out, Outages};
+use crate::outages::Cause;
 use crate::patience::Waits;
 pub(crate) use crate::recovery::Ill;
 use std::cell::RefCell;
@@ -166,6 +167,19 @@
         self.members.get(&member).is_some_and(|m| m.state == MemberState::InService)
     }
 
+    /// How a member is seen: why it is out, if it is, and whether it is its group's primary.
+    pub fn sight(&self, member: MemberId) -> (Cause, bool) {
+        let Some(m) = self.members.get(&member) else { return (Cause::Listed, false) };
+        let cold = m.cold_since.is_some_and(|since| self.now < since + self.set.rules.cold.0);
+        let cause = match () {
+            () if m.state != MemberState::InService => Cause::Listed,
+            () if m.ill.is_some() => Cause::Ill,
+            () if cold => Cause::Cold,
+            () => Cause::InService,
+        };
+        (cause, m.primary_at > m.replica_at)
+    }
+
     /// Whether a member gets no ordinary work now: it drains, is gone, or is ill.
     pub fn avoids(&self, member: MemberId) -> bool {
         self.members.get(&member).is_none_or(|m| m.state != MemberState::InService || m.ill.is_some())
--- /dev/null
+++ b/crates/decisions/tests/outages.rs
@@ -0,0 +1,290 @@
+//! Leave to be out: never more at once than is allowed, whatever dies, is lost or asked twice. The checker knows who is out
+//! and the limits, and nothing of permits.
+
+use linenhill_decisions::outages::reporter::Reporter;
+use linenhill_decisions::outages::table::{Denied, Outages, Permit, Seen};
+use linenhill_decisions::outages::{Cap, Cause, Fence, Limits, Report, Sight, Thing};
+use linenhill_decisions::roster::Roster;
+use std::collections::BTreeMap;
+
+const LEASE: u64 = 1_000_000;
+
+fn most(count: u64) -> Cap {
+    Cap { count: Some(count), percent: None }
+}
+
+fn limits(proxies: u64, members: u64) -> Limits {
+    let any = Cap::default();
+    Limits { fleet: most(proxies), zone: any, least: 0, group: most(members), group_least: 1 }
+}
+
+/// A fleet whose proxies speak when they are told to.
+struct Fleet {
+    roster: Roster,
+    outages: Outages,
+    seq: u64,
+    incarnations: BTreeMap<String, u64>,
+}
+
+impl Fleet {
+    fn new(proxies: usize, limits: Limits) -> Fleet {
+        let mut outages = Outages::default();
+        outages.limit(Some(limits));
+        let mut fleet = Fleet { roster: Roster::default(), outages, seq: 0, incarnations: BTreeMap::new() };
+        (0..proxies).for_each(|i| fleet.speaks(i, Cause::InService, &[]));
+        fleet
+    }
+
+    /// A proxy speaks of itself and of members of group 1, of which `m0` is the primary.
+    fn speaks(&mut self, i: usize, own: Cause, members: &[(&str, Cause)]) {
+        self.confirms(i, own, members, 0);
+    }
+
+    fn confirms(&mut self, i: usize, own: Cause, members: &[(&str, Cause)], fenced: u64) {
+        let name = format!("p{i}");
+        let incarnation = *self.incarnations.entry(name.clone()).or_insert(1_000 * (1 + i as u64));
+        self.seq += 1;
+        self.roster.ask(&name, incarnation, self.seq, None).expect("a seat");
+        let sight = |(id, cause): &(&str, Cause)| {
+            (id.to_string(), Sight { group: 1, cause: *cause as i32, primary: *id == "m0" })
+        };
+        let report = Report { own: own as i32, sights: members.iter().map(sight).collect(), fenced };
+        let seen = Seen::new(&self.roster, LEASE);
+        self.outages.heard(&seen, &name, incarnation, "z1", &report);
+        self.outages.tidy(&seen);
+    }
+
+    fn passes(&mut self, span: u64) {
+        self.roster.pass(span);
+        self.outages.tidy(&Seen::new(&self.roster, LEASE));
+    }
+
+    fn permit(&mut self, key: &str, by: &str, force: bool) -> Result<Permit, Denied> {
+        let thing = Thing::of(key).expect("a key");
+        let seen = Seen::new(&self.roster, LEASE);
+        self.outages.permit(&seen, &thing, by, "a test", force)
+    }
+
+    fn out(&self) -> Vec<(String, Cause)> {
+        self.outages.out(&Seen::new(&self.roster, LEASE))
+    }
+}
+
+// Guards against two that are let out where one may be, a permit that is lost with its holder, and one that never ends.
+#[test]
+fn a_permit_counts_until_the_thing_is_seen_back() {
+    let mut fleet = Fleet::new(3, limits(1, 1));
+    let first = fleet.permit("proxy/p0", "p0", false).expect("leave");
+    assert_eq!(fleet.permit("proxy/p0", "p0", false).expect("the same").number, first.number);
+    assert!(matches!(fleet.permit("proxy/p1", "p1", false), Err(Denied::Limit { .. })));
+    // It has leave and has not gone yet: what it says meanwhile ends nothing.
+    fleet.speaks(0, Cause::InService, &[]);
+    assert!(fleet.permit("proxy/p1", "p1", false).is_err());
+    fleet.speaks(0, Cause::Standby, &[]);
+    // Its holder dies in the middle: it still counts, once.
+    fleet.passes(2 * LEASE);
+    (1..3).for_each(|i| fleet.speaks(i, Cause::InService, &[]));
+    assert_eq!(fleet.out(), [("proxy/p0".to_string(), Cause::Silent)]);
+    assert!(fleet.permit("proxy/p1", "p1", false).is_err());
+    // Back as another incarnation, and in service.
+    fleet.incarnations.insert("p0".into(), 77);
+    fleet.speaks(0, Cause::InService, &[]);
+    assert!(fleet.out().is_empty());
+    assert!(fleet.permit("proxy/p1", "p1", false).is_ok());
+}
+
+// Guards against what is out for another reason than a permit that does not count, and against force that doesn't.
+#[test]
+fn everything_that_is_out_counts() {
+    let mut fleet = Fleet::new(4, limits(2, 1));
+    fleet.speaks(0, Cause::Stopping, &[]);
+    assert!(fleet.permit("proxy/p1", "p1", false).is_ok());
+    let Err(Denied::Limit { out, .. }) = fleet.permit("proxy/p2", "p2", false) else {
+        panic!("a third is let out")
+    };
+    assert_eq!(out.len(), 2);
+    assert!(fleet.permit("proxy/p2", "p2", true).expect("force").forced);
+    fleet.speaks(0, Cause::InService, &[]);
+    assert!(fleet.permit("proxy/p3", "p3", false).is_err(), "two are out, one of them by force");
+    // A cut that hides a part of the fleet: they count as out.
+    let mut fleet = Fleet::new(6, limits(2, 1));
+    fleet.passes(2 * LEASE);
+    (0..4).for_each(|i| fleet.speaks(i, Cause::InService, &[]));
+    assert!(matches!(fleet.permit("proxy/p0", "p0", false), Err(Denied::Limit { .. })));
+}
+
+// Guards against the last healthy member of a group taken out through two proxies, against a primary taken out before it
+// has handed over, and against a yes before every proxy has stopped sending there.
+#[test]
+fn a_member_is_out_for_all_before_anybody_hears_yes() {
+    let well = [("m0", Cause::InService), ("m1", Cause::InService), ("m2", Cause::InService)];
+    let mut fleet = Fleet::new(3, limits(1, 2));
+    (0..3).for_each(|i| fleet.speaks(i, Cause::InService, &well));
+    assert_eq!(fleet.permit("member/m0", "p0", false), Err(Denied::Primary));
+    assert_eq!(fleet.permit("member/m9", "p0", false), Err(Denied::Unknown));
+    let permit = fleet.permit("member/m1", "p0", false).expect("leave");
+    assert_eq!((permit.unconfirmed.len(), fleet.outages.fence().members), (3, vec!["m1".to_string()]));
+    assert!(fleet.permit("member/m1", "p1", false).is_err(), "somebody else has leave for it");
+    fleet.confirms(0, Cause::InService, &[("m1", Cause::Banned)], permit.edition);
+    fleet.confirms(1, Cause::InService, &[("m1", Cause::Banned)], permit.edition);
+    let left = |fleet: &mut Fleet| fleet.permit("member/m1", "p0", false).expect("it").unconfirmed.len();
+    assert_eq!(left(&mut fleet), 1);
+    // The third is cut off: it may still send there for as long as it has a seat, and no longer.
+    fleet.roster.seats.remove("p2");
+    fleet.passes(0);
+    assert_eq!(left(&mut fleet), 0);
+    // Two of three may be out, but one stays: the primary, and m2 alone goes no more.
+    fleet.speaks(0, Cause::InService, &[("m0", Cause::Ill)]);
+    fleet.speaks(1, Cause::InService, &[("m0", Cause::Ill)]);
+    assert!(matches!(fleet.permit("member/m2", "p1", false), Err(Denied::Limit { .. })));
+    // Back is not back before it is seen in service.
+    assert!(fleet.outages.back(&Thing::Member("m1".into())));
+    assert!(fleet.outages.fence().members.is_empty());
+    assert!(fleet.out().iter().any(|(key, _)| key == "member/m1"));
+    (0..2).for_each(|i| fleet.speaks(i, Cause::InService, &[("m1", Cause::InService)]));
+    assert!(!fleet.out().iter().any(|(key, _)| key == "member/m1"));
+}
+
+// Guards against an illness that one proxy alone sees, and against a member that is gone for good and counts for ever.
+#[test]
+fn what_few_see_is_theirs_and_what_is_gone_is_forgotten() {
+    let mut fleet = Fleet::new(5, limits(1, 1));
+    (0..5).for_each(|i| {
+        fleet.speaks(i, Cause::InService, &[("m1", Cause::InService), ("m2", Cause::InService)])
+    });
+    (0..2).for_each(|i| fleet.speaks(i, Cause::InService, &[("m1", Cause::Ill)]));
+    assert!(fleet.out().is_empty());
+    fleet.speaks(2, Cause::InService, &[("m1", Cause::Ill)]);
+    assert_eq!(fleet.out(), [("member/m1".to_string(), Cause::Ill)]);
+    assert!(fleet.permit("member/m2", "p0", false).is_err());
+    (0..5).for_each(|i| fleet.speaks(i, Cause::InService, &[("m1", Cause::Gone)]));
+    assert!(fleet.out().is_empty() && !fleet.outages.things.contains_key("member/m1"));
+    assert!(fleet.outages.forget(&Thing::Member("m2".into())));
+    assert!(!fleet.outages.forget(&Thing::Member("m2".into())));
+}
+
+/// A seeded history: proxies ask, are forced out, come back, die and start again; else who was let out beyond the limit.
+fn history(seed: u64) -> Result<(), String> {
+    let (proxies, allowed) = (6, 2);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut fleet = Fleet::new(proxies, limits(allowed, 1));
+    let mut truth = vec![Cause::InService; proxies];
+    for step in 0..400 {
+        let i = rng.usize(0..proxies);
+        match rng.u8(0..10) {
+            0 => truth[i] = Cause::Silent,
+            1 if truth[i] == Cause::Silent => {
+                fleet.incarnations.insert(format!("p{i}"), 10_000 + step);
+                truth[i] = Cause::InService;
+            }
+            2 => truth[i] = Cause::InService,
+            3 => {
+                let _ = fleet.permit(&format!("proxy/p{i}"), "operators", true);
+                truth[i] = Cause::Standby;
+            }
+            4..7 if truth[i] == Cause::InService => {
+                if fleet.permit(&format!("proxy/p{i}"), &format!("p{i}"), false).is_ok() {
+                    // Who asks is in service; whoever is hidden from the keepers for less than a lease is not known yet.
+                    let known = (0..proxies).filter(|p| truth[*p] != Cause::InService && *p != i).count();
+                    if known + 1 > allowed as usize {
+                        return Err(format!("seed {seed}, step {step}: {known} and one more are let out"));
+                    }
+                    truth[i] = Cause::Standby;
+                }
+            }
+            _ => {}
+        }
+        fleet.passes(2 * LEASE);
+        for (p, cause) in truth.iter().enumerate().filter(|(_, c)| **c != Cause::Silent) {
+            fleet.speaks(p, *cause, &[]);
+        }
+    }
+    Ok(())
+}
+
+// Guards against more out at once than is allowed, over histories of deaths, force, stops and returns.
+#[test]
+fn nobody_is_let_out_beyond_the_limit() {
+    (0..200).for_each(|seed| history(seed).unwrap_or_else(|e| panic!("{e}")));
+}
+
+// Guards against checks that can't fail.
+#[cfg(feature = "planted-faults")]
+#[test]
+fn planted_faults_are_caught() {
+    use linenhill_decisions::planted::{Fault, plant};
+    for fault in [Fault::DeadUncounted, Fault::ForceUncounted] {
+        plant(Some(fault));
+        let found = (0..200).find_map(|seed| history(seed).err());
+        plant(None);
+        assert!(found.is_some(), "{fault:?} was not caught");
+    }
+    plant(Some(Fault::FenceUnconfirmed));
+    let mut fleet = Fleet::new(2, limits(1, 1));
+    fleet.speaks(0, Cause::InService, &[("m1", Cause::InService), ("m2", Cause::InService)]);
+    let early = fleet.permit("member/m1", "p0", false).expect("leave").unconfirmed.is_empty();
+    plant(None);
+    assert!(early);
+}
+
+// Every order of asking, going, dying and coming back for three proxies of which one may be out, up to a depth.
+#[test]
+fn no_order_of_three_lets_two_out() {
+    fn play(fleet: &Fleet, truth: [Cause; 3], depth: usize, states: &mut u64) {
+        *states += 1;
+        if depth == 0 {
+            return;
+        }
+        for i in 0..3 {
+            for what in 0..4 {
+                let (roster, outages) = (fleet.roster.clone(), fleet.outages.clone());
+                let (seq, incarnations) = (fleet.seq, fleet.incarnations.clone());
+                let mut next = Fleet { roster, outages, seq, incarnations };
+                let mut truth = truth;
+                match what {
+                    0 if truth[i] == Cause::InService => {
+                        let others = (0..3).any(|p| p != i && truth[p] != Cause::InService);
+                        if next.permit(&format!("proxy/p{i}"), "it", false).is_ok() {
+                            assert!(!others, "a second one is let out: {truth:?}");
+                            truth[i] = Cause::Standby;
+                        }
+                    }
+                    1 => truth[i] = Cause::Silent,
+                    2 => truth[i] = Cause::InService,
+                    3 => truth[i] = Cause::Stopping,
+                    _ => continue,
+                }
+                next.passes(2 * LEASE);
+                for (p, cause) in truth.iter().enumerate().filter(|(_, c)| **c != Cause::Silent) {
+                    next.speaks(p, *cause, &[]);
+                }
+                play(&next, truth, depth - 1, states);
+            }
+        }
+    }
+    let mut states = 0;
+    play(&Fleet::new(3, limits(1, 1)), [Cause::InService; 3], 4, &mut states);
+    assert!(states > 10_000, "{states} states");
+}
+
+// Guards against a report that is lost and never told again, and against a fence that goes back to an older edition.
+#[test]
+fn what_a_proxy_sees_is_told_until_it_is_answered() {
+    let mut reporter = Reporter::default();
+    let sight = |cause: Cause| Sight { group: 1, cause: cause as i32, primary: false };
+    assert!(reporter.see([("m1".to_string(), sight(Cause::Ill))].into()));
+    assert_eq!(reporter.report(1).sights.len(), 1);
+    assert_eq!(reporter.report(2).sights.len(), 1, "the first one may be lost");
+    assert_eq!(reporter.granted(1, None), None, "an answer to the first says nothing of the second");
+    let fence = Fence { edition: 3, members: vec!["m1".into()] };
+    assert_eq!(reporter.granted(2, Some(fence.clone())), Some(fence.clone()));
+    assert!(reporter.report(3).sights.is_empty());
+    assert_eq!(reporter.granted(3, Some(Fence { edition: 2, members: Vec::new() })), None);
+    assert_eq!(reporter.report(4).fenced, 0, "it is not carried out yet");
+    reporter.carried(3);
+    assert_eq!(reporter.report(5).fenced, 3);
+    assert!(reporter.see(BTreeMap::new()), "who is not seen any more is told of as gone");
+    assert_eq!(reporter.report(6).sights["m1"].cause, Cause::Gone as i32);
+    reporter.begin_anew();
+    assert!(reporter.own(Cause::Standby) && !reporter.own(Cause::Standby));
+}
--- a/crates/lab/src/together.rs
+++ b/crates/lab/src/together.rs
@@ -99,7 +99,7 @@
 enum Ahead {
     Tick(usize, u64),
     Due(usize, u64),
-    Joined(usize, u64, Envelope),
+    Joined(usize, u64, Box<Envelope>),
     Deliver(At, At, u64, Box<Envelope>),
     Wake(usize, u64),
     Use(usize, u64),
@@ -199,6 +199,7 @@
             budgets: [(BUDGET.to_string(), budget)].into(),
             bindings: Vec::new(),
             revision: 1,
+            outages: None,
         };
         let clock = |rng: &mut fastrand::Rng| {
             let drift = if plan.drift { u64::from(plan.terms.drift_ppm as u32) } else { 0 };
@@ -485,7 +486,7 @@
                 self.keepers[i].due = None;
                 self.feed(i, None);
             }
-            Ahead::Joined(i, _, answer) => self.feed(i, Some(Event::Joined(answer))),
+            Ahead::Joined(i, _, answer) => self.feed(i, Some(Event::Joined(*answer))),
             Ahead::Deliver(from, At::Keeper(i), _, say) => self.feed(i, Some(Event::Came(*say, Some(from)))),
             Ahead::Deliver(_, At::Proxy(i), _, say) => self.answered(i, *say),
             Ahead::Wake(i, _) => {
@@ -557,7 +558,9 @@
                 span += self.rng.u64(0..1_500 * MS);
             }
             let ahead = match (to, &say.body) {
-                (At::Keeper(i), Some(Body::Done(_))) => Ahead::Joined(i, self.keepers[i].life, say.clone()),
+                (At::Keeper(i), Some(Body::Done(_))) => {
+                    Ahead::Joined(i, self.keepers[i].life, Box::new(say.clone()))
+                }
                 (At::Keeper(i), _) => Ahead::Deliver(from, to, self.keepers[i].life, Box::new(say.clone())),
                 (At::Proxy(i), _) => Ahead::Deliver(from, to, self.proxies[i].life, Box::new(say.clone())),
             };
@@ -580,7 +583,7 @@
         if now >= due && now >= proxy.paused {
             let ask = proxy.holder.ask(now);
             proxy.seeking.asked(now);
-            let body = Body::Ask(ProxyAsk { ask, version: String::new(), zone: String::new() });
+            let body = Body::Ask(ProxyAsk { ask, version: String::new(), zone: String::new(), report: None });
             let (say, to) = (proxy.identity.say(0, body), At::Keeper(proxy.seeking.keeper()));
             self.send(At::Proxy(i), to, say);
         }
@@ -602,8 +605,8 @@
         let proxy = &mut self.proxies[i];
         let now = proxy.clock.shows(self.now);
         match say.body {
-            Some(Body::Granted(grant)) => {
-                let news = proxy.holder.granted(now, grant);
+            Some(Body::Granted(granted)) => {
+                let news = proxy.holder.granted(now, granted.grant);
                 news.then(|| proxy.seeking.granted());
             }
             Some(Body::Elsewhere(elsewhere)) => {
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' own file, in protobuf's text format: read whole, with every mistake named by line and field.
 
+use linenhill_decisions::outages::{Cap, Limits};
 use linenhill_decisions::roster::Terms;
 use linenhill_decisions::shares::{BUDGETS_MOST, Budget, Budgets};
 use prost::Message;
@@ -47,6 +48,30 @@
     budget: Vec<BudgetDoc>,
     #[prost(uint64, tag = "6")]
     revision: u64,
+    #[prost(message, optional, tag = "7")]
+    outages: Option<OutagesDoc>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct OutagesDoc {
+    #[prost(message, optional, tag = "1")]
+    proxies: Option<CapDoc>,
+    #[prost(message, optional, tag = "2")]
+    zone: Option<CapDoc>,
+    #[prost(uint64, tag = "3")]
+    least: u64,
+    #[prost(message, optional, tag = "4")]
+    members: Option<CapDoc>,
+    #[prost(uint64, tag = "5")]
+    members_least: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct CapDoc {
+    #[prost(uint64, optional, tag = "1")]
+    count: Option<u64>,
+    #[prost(uint64, optional, tag = "2")]
+    percent: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -154,6 +179,8 @@
     pub bindings: Vec<Binding>,
     /// Which edition of terms and budgets it is: one that is not higher than that agreed on changes nothing.
     pub revision: u64,
+    /// What may be out at once, if that is bounded.
+    pub outages: Option<Limits>,
 }
 
 /// One mistake in the file.
@@ -390,6 +417,19 @@
         let class = Some(b.class.clone()).filter(|c| !c.is_empty());
         bindings.push(Binding { budget: b.name.clone(), what, class });
     }
+    let outages = doc.outages.map(|o| {
+        let at = find(text, "outages", 0);
+        let mut cap = |doc: Option<CapDoc>, name: &str| {
+            let CapDoc { count, percent } = doc.unwrap_or_default();
+            if percent.is_some_and(|p| p > 100) {
+                wrong(at, format!("outages.{name}.percent"), "0 to 100 is expected");
+            }
+            Cap { count, percent }
+        };
+        let (fleet, zone) = (cap(o.proxies, "proxies"), cap(o.zone, "zone"));
+        let group = cap(o.members, "members");
+        Limits { fleet, zone, least: o.least, group, group_least: o.members_least }
+    });
     let us = |ms: u64| ms.saturating_mul(1_000);
     Operator {
         cluster: doc.cluster,
@@ -406,5 +446,6 @@
         budgets,
         bindings,
         revision: doc.revision,
+        outages,
     }
 }
--- a/src/admin/call.rs
+++ b/src/admin/call.rs
@@ -22,12 +22,12 @@
     Status,
     /// The figures.
     Metrics,
-    /// Nothing more to this member.
-    Enter(String),
+    /// Nothing more to this member; against the fleet's limits.
+    Enter(String, bool),
     /// This member may serve again.
     Exit(String),
-    /// Drain.
-    Standby,
+    /// Drain; against the fleet's limits.
+    Standby(bool),
     /// End of the drain.
     Active,
 }
@@ -151,10 +151,12 @@
     match path {
         "/status" => by("GET", Call::Status),
         "/status/metrics" => by("GET", Call::Metrics),
-        "/standby" => by("POST", Call::Standby),
+        "/standby" => by("POST", Call::Standby(false)).and_then(|_| Ok(Call::Standby(forced(query)?))),
         "/active" => by("POST", Call::Active),
         "/maintenance/enter" => {
-            by("POST", Call::Enter(String::new())).and_then(|_| Ok(Call::Enter(name(query)?)))
+            by("POST", Call::Enter(String::new(), false))?;
+            let (query, force) = without_force(query)?;
+            Ok(Call::Enter(name(&query)?, force))
         }
         "/maintenance/exit" => {
             by("POST", Call::Exit(String::new())).and_then(|_| Ok(Call::Exit(name(query)?)))
@@ -163,6 +165,21 @@
     }
 }
 
+/// A query without `force=1`, and whether it holds it.
+fn without_force(query: &str) -> Result<(String, bool), CallError> {
+    let (force, rest): (Vec<&str>, Vec<&str>) = query.split('&').partition(|pair| pair.starts_with("force="));
+    match force[..] {
+        [] => Ok((rest.join("&"), false)),
+        ["force=1"] => Ok((rest.join("&"), true)),
+        _ => Err(CallError::Query("force=1 is all that may be said of force, once")),
+    }
+}
+
+/// Whether a query says `force=1`. What else it says is nobody's here, as ever.
+fn forced(query: &str) -> Result<bool, CallError> {
+    without_force(query).map(|(_, force)| force)
+}
+
 /// The one member that a query names.
 fn name(query: &str) -> Result<String, CallError> {
     let mut found = None;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -10,12 +10,15 @@
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::discovery::heard::Heard;
 use crate::figures::Figures;
+use crate::fleet::outages::{self, No};
 use crate::lifecycle::Event;
 use crate::maintenance::Unheard;
 use crate::stages::Input;
 use crate::takeover::words::Words;
 use call::{Call, CallCodec, CallError};
 use futures_util::StreamExt;
+use linenhill_cluster::member::Fleet;
+use linenhill_decisions::outages::Thing;
 use log::{info, warn};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -57,6 +60,8 @@
     pub heard: Rc<Heard>,
     /// Where the driver of the decisions is asked of members.
     pub inbox: mpsc::UnboundedSender<Input>,
+    /// The fleet, if this process is part of one.
+    pub fleet: Option<Rc<Fleet>>,
 }
 
 /// An answer: status, type of the text, text.
@@ -70,6 +75,17 @@
     Answer { status, kind: "text/plain; charset=utf-8", text: text.into() + "\n" }
 }
 
+/// When to ask again, in words: permits end when something is back.
+fn refused(no: No) -> Answer {
+    match no {
+        No::Denied(text) => said(409, format!("{text}; ask again in 1 s")),
+        No::Unconfirmed(who) => {
+            said(503, format!("not confirmed yet by {}; ask again in 1 s", who.join(", ")))
+        }
+        No::Unasked(problem) => said(503, format!("no keeper answers: {problem}; ask again in 1 s")),
+    }
+}
+
 fn phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
@@ -91,14 +107,49 @@
         match call {
             Call::Status if self.course.serves() => said(200, "serving"),
             Call::Status => said(503, "not serving"),
-            Call::Standby => self.tell(Event::Standby, "draining"),
+            Call::Standby(force) => match self.permit(Thing::Proxy, force).await {
+                Ok(()) => self.tell(Event::Standby, "draining"),
+                Err(no) => no,
+            },
+            // Its permit ends once the fleet sees it serve.
             Call::Active => self.tell(Event::Active, "serving"),
-            Call::Enter(id) => self.say(&id, true),
-            Call::Exit(id) => self.say(&id, false),
+            Call::Enter(id, force) => match self.permit(|_| Thing::Member(id.clone()), force).await {
+                Ok(()) if self.bounded() => said(200, format!("{id} is out")),
+                Ok(()) => self.say(&id, true),
+                Err(no) => no,
+            },
+            Call::Exit(id) => match self.fleet.as_ref().filter(|_| self.bounded()) {
+                Some(fleet) => match outages::back(fleet, &Thing::Member(id.clone())).await {
+                    Ok(_) => self.say(&id, false),
+                    Err(no) => refused(no),
+                },
+                None => self.say(&id, false),
+            },
             Call::Metrics => self.metrics().await,
         }
     }
 
+    fn bounded(&self) -> bool {
+        self.fleet.as_ref().is_some_and(|fleet| fleet.bounds_outages())
+    }
+
+    /// Leave of the fleet, where it bounds what is out; it must be had before anything is drained.
+    async fn permit(&self, thing: impl FnOnce(String) -> Thing, force: bool) -> Result<(), Answer> {
+        let Some(fleet) = self.fleet.as_ref().filter(|_| self.bounded()) else { return Ok(()) };
+        let thing = thing(fleet.name());
+        match outages::permit(fleet, &thing, "operators' call", force).await {
+            Ok(text) => {
+                let against = if force { ", against the limits" } else { "" };
+                info!("operators: {text}{against}");
+                Ok(())
+            }
+            Err(no) => {
+                info!("operators: {} may not be out: {no:?}", thing.key());
+                Err(refused(no))
+            }
+        }
+    }
+
     fn say(&self, id: &str, out: bool) -> Answer {
         let state = if out { "out" } else { "in use" };
         match self.words.say(id, out) {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -78,6 +78,36 @@
         #[arg(long, value_name = "FILE")]
         operator: PathBuf,
     },
+    /// Ask for leave for a thing to be out: `proxy/NAME` or `member/ID`.
+    Permit {
+        /// The thing.
+        thing: String,
+        /// The operators' file.
+        #[arg(long, value_name = "FILE")]
+        operator: PathBuf,
+        /// What for.
+        #[arg(long, default_value = "by hand")]
+        reason: String,
+        /// Against the limits; it counts all the same.
+        #[arg(long)]
+        force: bool,
+    },
+    /// A thing is to come back: its permit ends once it is seen in service.
+    Back {
+        /// The thing.
+        thing: String,
+        /// The operators' file.
+        #[arg(long, value_name = "FILE")]
+        operator: PathBuf,
+    },
+    /// A thing is no more: it counts no longer, and its permit ends.
+    Forget {
+        /// The thing.
+        thing: String,
+        /// The operators' file.
+        #[arg(long, value_name = "FILE")]
+        operator: PathBuf,
+    },
     /// Declare a file's terms and budgets in the place of those agreed on; its revision must be higher.
     Declare {
         /// The operators' file.
--- a/src/clients/phase.rs
+++ b/src/clients/phase.rs
@@ -37,6 +37,11 @@
         self.lifecycle.borrow().serves()
     }
 
+    /// Whether the process stops.
+    pub fn stops(&self) -> bool {
+        self.lifecycle.borrow().stops()
+    }
+
     /// How clients are treated, now and from then on.
     pub fn watch(&self) -> watch::Receiver<View> {
         self.view.subscribe()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Budgets of the whole fleet where they bind in this proxy. Without the operator's file nothing binds.
 
+pub mod outages;
 pub mod tools;
 
 use crate::api::ClassId;
@@ -141,6 +142,12 @@
         }
     }
 
+    /// Whether clients are served: not where outages are bounded and this proxy is a member of the fleet no more, since it
+    /// can't know who is out.
+    pub fn serves(&self) -> bool {
+        self.0.as_ref().is_none_or(|bound| bound.fleet.serves())
+    }
+
     /// Returns when shares changed; never where nothing binds.
     pub async fn changed(&self) {
         match &self.0 {
--- /dev/null
+++ b/src/fleet/outages.rs
@@ -0,0 +1,104 @@
+//! What this process tells the fleet of itself and of members, and what the fleet tells it in turn: carried out between the
+//! course of the process, the driver of the decisions, and the keepers. Decides nothing.
+
+use crate::clients::phase::Course;
+use crate::stages::Input;
+use linenhill_cluster::member::Fleet;
+use linenhill_cluster::state::{OutageDoc, Wish};
+use linenhill_cluster::wire::Done;
+use linenhill_decisions::outages::{Cause, Thing};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+/// A wish that is granted but not confirmed by everybody is asked about again so often, and for so long.
+const CONFIRM_EVERY: Duration = Duration::from_millis(100);
+const CONFIRM_WITHIN: Duration = Duration::from_secs(4);
+
+/// Tells the fleet for as long as the program runs, and carries out its fence.
+pub async fn look_after(fleet: Rc<Fleet>, course: Rc<Course>, inbox: mpsc::UnboundedSender<Input>) {
+    let (mut view, mut fences) = (course.watch(), fleet.fences());
+    let mut look = interval(fleet.renews_every());
+    look.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        fleet.own(course.cause());
+        tokio::select! {
+            changed = view.changed() => if changed.is_err() { return },
+            _ = look.tick() => {
+                let (ask, asked) = oneshot::channel();
+                let _ = inbox.send(Input::Sights(ask));
+                if let Ok(sights) = asked.await {
+                    fleet.see(sights);
+                }
+            }
+            changed = fences.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let fence = fences.borrow_and_update().clone();
+                let (done, carried) = oneshot::channel();
+                let _ = inbox.send(Input::Fence(fence.members, done));
+                // It is confirmed once the decisions have taken it in: nothing new is sent there after that.
+                if carried.await.is_ok() {
+                    fleet.carried(fence.edition);
+                }
+            }
+        }
+    }
+}
+
+/// Why something may not be out.
+#[derive(Debug)]
+pub enum No {
+    /// The fleet says so.
+    Denied(String),
+    /// It is granted, but these have not confirmed it yet: whoever asks again hears how far it is.
+    Unconfirmed(Vec<String>),
+    /// No keeper could be asked.
+    Unasked(String),
+}
+
+/// Asks for leave for a thing to be out, and for a member waits until no proxy sends to it any more.
+pub async fn permit(fleet: &Fleet, thing: &Thing, reason: &str, force: bool) -> Result<String, No> {
+    let by = fleet.name();
+    let wish =
+        OutageDoc { thing: thing.key(), wish: Wish::Permit as i32, by, reason: reason.to_string(), force };
+    let mut left = Vec::new();
+    let confirmed = async {
+        loop {
+            let Done { ok, text, unconfirmed, elsewhere } =
+                fleet.wish(wish.clone()).await.map_err(No::Unasked)?;
+            if elsewhere {
+                return Err(No::Unasked(text));
+            }
+            if !ok {
+                return Err(No::Denied(text));
+            }
+            if unconfirmed.is_empty() {
+                return Ok(text);
+            }
+            left = unconfirmed;
+            sleep(CONFIRM_EVERY).await;
+        }
+    };
+    timeout(CONFIRM_WITHIN, confirmed).await.unwrap_or(Err(No::Unconfirmed(left)))
+}
+
+/// A thing is to come back.
+pub async fn back(fleet: &Fleet, thing: &Thing) -> Result<String, No> {
+    let wish = OutageDoc { thing: thing.key(), wish: Wish::Back as i32, ..OutageDoc::default() };
+    let done = fleet.wish(wish).await.map_err(No::Unasked)?;
+    if done.ok { Ok(done.text) } else { Err(No::Denied(done.text)) }
+}
+
+impl Course {
+    /// How this process is, in the fleet's words.
+    pub fn cause(&self) -> Cause {
+        match (self.serves(), self.stops()) {
+            (true, _) => Cause::InService,
+            (false, false) => Cause::Standby,
+            (false, true) => Cause::Stopping,
+        }
+    }
+}
--- a/src/fleet/tools.rs
+++ b/src/fleet/tools.rs
@@ -3,7 +3,8 @@
 use crate::cli::Fleet;
 use linenhill_cluster::link::{self, Identity};
 use linenhill_cluster::node::declaration;
-use linenhill_cluster::wire::{Body, Done, Operate, Status, StatusAsk};
+use linenhill_cluster::state::{OutageDoc, Wish};
+use linenhill_cluster::wire::{Body, Done, Operate, OutStatus, Status, StatusAsk};
 use linenhill_settings::operator::{self, Mistake, Operator};
 use miniserde::Serialize;
 use std::fmt::Write;
@@ -62,6 +63,17 @@
     keepers: std::collections::BTreeMap<String, String>,
     instances: Vec<SeatDoc>,
     budgets: Vec<BudgetDoc>,
+    out: Vec<OutDoc>,
+}
+
+#[derive(Serialize)]
+struct OutDoc {
+    thing: String,
+    cause: String,
+    permit: u64,
+    by: String,
+    reason: String,
+    forced: bool,
 }
 
 #[derive(Serialize)]
@@ -98,6 +110,11 @@
             let declare = Some(declaration(&operator));
             tell(&operator, Operate { declare, ..Operate::default() }).await
         }
+        Fleet::Permit { thing, operator, reason, force } => {
+            wish(&operator, thing, Wish::Permit, reason, force).await
+        }
+        Fleet::Back { thing, operator } => wish(&operator, thing, Wish::Back, String::new(), false).await,
+        Fleet::Forget { thing, operator } => wish(&operator, thing, Wish::Forget, String::new(), false).await,
         Fleet::Replace { name, operator } => {
             tell(&read(&operator)?, Operate { replace: name, ..Operate::default() }).await
         }
@@ -132,23 +149,24 @@
 }
 
 async fn tell(operator: &Operator, operate: Operate) -> Result<String, String> {
-    let identity = identity(operator);
-    let mut last = "there is no keeper".to_string();
-    for keeper in &operator.keepers {
-        match link::call(keeper.address, identity.say(0, Body::Operate(operate.clone()))).await {
-            Ok(envelope) => match envelope.body {
-                Some(Body::Done(Done { ok: true, text })) => return Ok(text),
-                Some(Body::Done(Done { text, .. })) => last = text,
-                _ => last = format!("{}: an answer that is none", keeper.name),
-            },
-            Err(problem) => last = format!("{}: {problem}", keeper.name),
-        }
-    }
-    Err(last)
+    let Done { ok, text, unconfirmed, .. } =
+        link::tell(&operator.keepers, &identity(operator), operate).await?;
+    let waits = if unconfirmed.is_empty() {
+        String::new()
+    } else {
+        format!("; not confirmed yet by {}", unconfirmed.join(", "))
+    };
+    if ok { Ok(text + &waits) } else { Err(text) }
+}
+
+/// A wish on something that may be out.
+async fn wish(file: &Path, thing: String, wish: Wish, reason: String, force: bool) -> Result<String, String> {
+    let outage = OutageDoc { thing, wish: wish as i32, by: "operators".into(), reason, force };
+    tell(&read(file)?, Operate { outage: Some(outage), ..Operate::default() }).await
 }
 
 fn doc(from: String, status: Status) -> StatusDoc {
-    let Status { role, leader, term, applied, keepers, seats, budgets, news_ms } = status;
+    let Status { role, leader, term, applied, keepers, seats, budgets, news_ms, out } = status;
     let seat = |s: linenhill_cluster::wire::SeatStatus| SeatDoc {
         name: s.name,
         incarnation: format!("{:016x}", s.incarnation),
@@ -165,7 +183,12 @@
     };
     let instances = seats.into_iter().map(seat).collect();
     let budgets = budgets.into_iter().map(budget).collect();
-    StatusDoc { from, role, leader, term, applied, news_ms, keepers, instances, budgets }
+    let one = |o: OutStatus| {
+        let OutStatus { thing, cause, permit, by, reason, forced } = o;
+        OutDoc { thing, cause, permit, by, reason, forced }
+    };
+    let out = out.into_iter().map(one).collect();
+    StatusDoc { from, role, leader, term, applied, news_ms, keepers, instances, budgets, out }
 }
 
 fn text(from: &str, status: &Status) -> String {
@@ -192,5 +215,13 @@
         let (counted, whole, used) = (budget.counted, budget.whole, budget.in_use);
         let _ = writeln!(text, "budget  {:<24} whole {whole}, counted {counted}, in use {used}", budget.name);
     }
+    for o in &status.out {
+        let forced = if o.forced { ", against the limits" } else { "" };
+        let permit = match o.permit {
+            0 => "no permit".to_string(),
+            number => format!("permit {number} of {}: {}{forced}", o.by, o.reason),
+        };
+        let _ = writeln!(text, "out     {:<24} {}, {permit}", o.thing, o.cause);
+    }
     text
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -98,8 +98,8 @@
     #[cfg(feature = "planted-faults")]
     if let Ok(name) = std::env::var("LINENHILL_PLANTED") {
         use linenhill_decisions::planted::{Fault, plant};
-        let fault = Fault::ALL.iter().find(|(_, n)| *n == name).ok_or("no such fault")?;
-        plant(Some(fault.0));
+        let fault = Fault::named(&name).ok_or("no such fault")?;
+        plant(Some(fault));
     }
     Ok(())
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -15,6 +15,7 @@
 use crate::door::Bounds;
 use crate::figures::Figures;
 use crate::fleet::Shares;
+use crate::fleet::outages;
 use crate::lifecycle::Event;
 use crate::members::pool::Pool;
 use crate::policy::Router;
@@ -149,14 +150,18 @@
     spawn_local(async move { kept.look_after().await });
     spawn_local(pool.clone().follow_shares());
     spawn_local(pool.look_after());
+    let course = Course::new(clock);
+    let together = listeners.together.as_ref().map(|(_, fleet, _)| fleet.clone());
     if let Some((_, fleet, reached)) = listeners.together {
         spawn_local(fleet.clone().run());
+        if fleet.bounds_outages() {
+            spawn_local(outages::look_after(fleet.clone(), course.clone(), asked.clone()));
+        }
         if let Some(reached) = reached {
             spawn_local(fleet.serve(reached));
         }
     }
     spawn_local(doorway.clone().look_after());
-    let course = Course::new(clock);
     spawn_local(course.clone().look_after());
     let view = course.watch();
     let mut serving = spawn_local(listener::run(listeners.clients, desk.clone(), doorway, view, counters));
@@ -164,7 +169,14 @@
     if let Some(operators) = listeners.operators {
         spawn_local(admin::run(
             operators,
-            Rc::new(Controls { course: course.clone(), words: words.clone(), figures, heard, inbox: asked }),
+            Rc::new(Controls {
+                course: course.clone(),
+                words: words.clone(),
+                figures,
+                heard,
+                inbox: asked,
+                fleet: together,
+            }),
         ));
     }
     tokio::select! {
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -12,6 +12,8 @@
 use crate::discovery::list::News;
 use crate::request::Payload;
 use bytes::Bytes;
+use linenhill_decisions::outages::Sight;
+use std::collections::BTreeMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -86,4 +88,8 @@
     Asked(oneshot::Sender<(usize, usize)>),
     /// Operators have said something new on the member with this name.
     Word(String),
+    /// The fleet asks how members are seen.
+    Sights(oneshot::Sender<BTreeMap<String, Sight>>),
+    /// The fleet says to whom nothing new may be sent; answered once that is so.
+    Fence(Vec<String>, oneshot::Sender<()>),
 }
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -5,7 +5,7 @@
 use super::send::Sender;
 use super::{Answer, Input, Taken, Value};
 use crate::api::{
-    Action, Event, ListEntry, ListUpdate, MemberId, MemberState, Outcome, RequestId, Span, Time,
+    Action, Event, GroupId, ListEntry, ListUpdate, MemberId, MemberState, Outcome, RequestId, Span, Time,
 };
 use crate::clock::Clock;
 use crate::discovery::list::{Listing, Names, News, Server};
@@ -13,6 +13,7 @@
 use crate::maintenance::{Maintenance, Shown};
 use crate::members::pool::Pool;
 use crate::policy::Router;
+use linenhill_decisions::outages::{Cause, Sight};
 use log::{error, info};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -114,7 +115,8 @@
         match input {
             Input::Taken(taken) => {
                 let Taken { request, payload, deadline, reply } = *taken;
-                if self.maintenance.borrow().closed(request.group) || !self.shares.admission(request.class) {
+                let closed = self.maintenance.borrow().closed(request.group) || !self.shares.serves();
+                if closed || !self.shares.admission(request.class) {
                     let _ = reply.send(Answer::Refused { retry_after: Some(COME_BACK) });
                     return;
                 }
@@ -159,6 +161,13 @@
                 self.list(update);
             }
             Input::Word(id) => self.say_again(&id),
+            Input::Sights(reply) => _ = reply.send(self.sights()),
+            Input::Fence(members, done) => {
+                let now = self.clock.now();
+                let changed = self.maintenance.borrow_mut().fence(now, members.into_iter().collect());
+                changed.iter().for_each(|id| self.say_again(id));
+                let _ = done.send(());
+            }
             Input::Asked(reply) => _ = reply.send((self.listed.len(), self.avoided())),
         }
     }
@@ -172,6 +181,18 @@
         self.listed.iter().filter(avoided).count()
     }
 
+    /// How members are seen: those that lists name, and those that they named of late.
+    fn sights(&self) -> BTreeMap<String, Sight> {
+        let maintenance = self.maintenance.borrow();
+        let sight = |(id, group, _): (&str, GroupId, bool)| {
+            let listed = self.listed.get(id).map(|(_, member)| self.router.sight(*member));
+            let (cause, primary) = listed.unwrap_or((Cause::Listed, false));
+            let cause = if maintenance.is_out(id) { Cause::Banned } else { cause };
+            (id.to_string(), Sight { group: u64::from(group.0), cause: cause as i32, primary })
+        };
+        maintenance.known().map(sight).collect()
+    }
+
     /// Operators have said something on a member: it is shown anew, at once.
     fn say_again(&mut self, id: &str) {
         let Some((server, _)) = self.listed.get(id).cloned() else { return };
