Processes agree on who is out: deaths, elections, cuts, a member out for all

Seen there and mended: a proxy back before anybody saw it gone kept its permit for ever (it gives it back itself now); a group whose primary nobody knows let its primary go (refused, and each proxy's word on who it is counts); a proxy that is heard of and hears nothing kept an exclusion from ever being confirmed (what it was granted before is over after the membership, and a grant with a newer fence makes no member before that fence is carried out).

--- a/crates/cluster/src/member.rs
+++ b/crates/cluster/src/member.rs
@@ -40,6 +40,8 @@
     changed: Notify,
     reporter: RefCell<Reporter>,
     fence: watch::Sender<Fence>,
+    /// Until when it is a member whose fence is carried out.
+    fenced_until: Cell<u64>,
 }
 
 impl Fleet {
@@ -67,6 +69,7 @@
             changed: Notify::new(),
             reporter: RefCell::default(),
             fence: watch::channel(Fence::default()).0,
+            fenced_until: Cell::new(0),
         })
     }
 
@@ -205,6 +208,7 @@
                 if let Some(newer) = self.reporter.borrow_mut().granted(seq, fence) {
                     self.fence.send_replace(newer);
                 }
+                self.go_by_fence();
                 self.answered.set(clock::now());
                 if *self.leader.borrow() != envelope.from {
                     info!("fleet: leader {}", envelope.from);
@@ -250,7 +254,7 @@
 
     /// Whether clients are served: a proxy that is a member no more can't know who is out, nor that it is counted.
     pub fn serves(&self) -> bool {
-        !self.bounds_outages() || clock::now() < self.holder.borrow().held_until().1
+        !self.bounds_outages() || clock::now() < self.fenced_until.get()
     }
 
     /// How this process is.
@@ -261,6 +265,13 @@
         }
     }
 
+    /// A grant that told of a newer fence makes no member before that fence is carried out.
+    fn go_by_fence(&self) {
+        if self.reporter.borrow().is_carried() {
+            self.fenced_until.set(self.holder.borrow().held_until().1);
+        }
+    }
+
     /// How members are seen.
     pub fn see(&self, sights: BTreeMap<String, Sight>) {
         self.reporter.borrow_mut().see(sights);
@@ -274,6 +285,7 @@
     /// That edition of the fence is carried out.
     pub fn carried(&self, edition: u64) {
         self.reporter.borrow_mut().carried(edition);
+        self.go_by_fence();
         self.holder.borrow_mut().hurry();
         self.wake.notify_one();
     }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -728,7 +728,7 @@
             let Permit { number, by, reason, forced, .. } = permit;
             OutStatus { thing, cause: cause.word().to_string(), permit: number, by, reason, forced }
         };
-        let out = outages.out(&Seen::new(&table.roster, lease)).into_iter().map(out).collect();
+        let out = outages.out(&Seen::new(&table.roster, &table.terms)).into_iter().map(out).collect();
         Status {
             role: role.to_string(),
             leader: self.leader(),
--- a/crates/cluster/src/state.rs
+++ b/crates/cluster/src/state.rs
@@ -185,8 +185,7 @@
             }
         }
         let effects = self.table.apply(entry.elapsed_us, commands);
-        let terms = self.table.terms;
-        let seen = Seen::new(&self.table.roster, terms.stretched(terms.lease_us));
+        let seen = Seen::new(&self.table.roster, &self.table.terms);
         for (name, incarnation, zone, report) in reports {
             let seated = self.table.roster.seats.get(&name).is_some_and(|s| s.incarnation == incarnation);
             if let Some(report) = report.filter(|_| seated) {
@@ -236,6 +235,7 @@
         Denied::Unknown => format!("no proxy has spoken of {thing}"),
         Denied::Held { by } => format!("{by} has leave for {thing} already"),
         Denied::Primary => format!("{thing} is its group's primary: it hands over first"),
+        Denied::PrimaryUnknown => format!("the primary of the group of {thing} is not known yet"),
         Denied::Limit { what, out } => {
             let who: Vec<String> = out.iter().map(|(key, cause)| format!("{key} {}", cause.word())).collect();
             let who = if who.is_empty() { "nobody is out".to_string() } else { who.join(", ") };
--- a/crates/decisions/src/outages/reporter.rs
+++ b/crates/decisions/src/outages/reporter.rs
@@ -67,6 +67,11 @@
         self.carried = self.carried.max(edition);
     }
 
+    /// Whether the newest fence that was told is carried out.
+    pub fn is_carried(&self) -> bool {
+        self.carried >= self.fence.edition
+    }
+
     /// Another incarnation begins: all is told anew.
     pub fn begin_anew(&mut self) {
         (self.told, self.pending) = (BTreeMap::new(), None);
--- a/crates/decisions/src/outages/table.rs
+++ b/crates/decisions/src/outages/table.rs
@@ -3,7 +3,7 @@
 
 use super::{Cause, Fence, Limits, Report, THINGS_MOST, Thing, WORDS_MOST};
 use crate::planted::{Fault, planted};
-use crate::roster::Roster;
+use crate::roster::{Roster, Terms};
 use std::collections::BTreeMap;
 
 /// Leave to be out.
@@ -50,9 +50,9 @@
     /// A proxy's own word on itself: [`Cause`].
     #[prost(enumeration = "Cause", tag = "3")]
     pub own: i32,
-    /// A member is its group's primary, as was last said.
-    #[prost(bool, tag = "4")]
-    pub primary: bool,
+    /// Who takes a member for its group's primary, by incarnation. While they differ, each of them counts as one.
+    #[prost(uint64, repeated, tag = "4")]
+    pub primary_by: Vec<u64>,
     /// Who says that a member is out, by incarnation, and why.
     #[prost(btree_map = "uint64, enumeration(Cause)", tag = "5")]
     pub said: BTreeMap<u64, i32>,
@@ -76,6 +76,8 @@
     },
     /// It is a group's primary: it hands over first.
     Primary,
+    /// Nobody knows the group's primary, so it may be this one.
+    PrimaryUnknown,
     /// As many are out as may be, or as few in service.
     Limit {
         /// Which limit.
@@ -106,15 +108,18 @@
 pub struct Seen<'a> {
     roster: &'a Roster,
     lease: u64,
+    /// For so long a proxy serves under what it was last granted, in log time.
+    membership: u64,
     /// Proxies that are.
     alive: usize,
 }
 
 impl<'a> Seen<'a> {
-    /// Whoever spoke within `lease`, in log time, is heard of.
-    pub fn new(roster: &'a Roster, lease: u64) -> Seen<'a> {
+    /// Whoever spoke within a lease is heard of.
+    pub fn new(roster: &'a Roster, terms: &Terms) -> Seen<'a> {
+        let (lease, membership) = (terms.stretched(terms.lease_us), terms.stretched(terms.membership_us));
         let alive = roster.seats.keys().filter(|name| roster.heard_within(name, lease)).count();
-        Seen { roster, lease, alive }
+        Seen { roster, lease, membership, alive }
     }
 }
 
@@ -147,7 +152,11 @@
                 continue;
             }
             let Some(known) = self.entry(key) else { continue };
-            (known.group, known.primary, known.seen) = (sight.group, sight.primary, now);
+            (known.group, known.seen) = (sight.group, now);
+            known.primary_by.retain(|other| *other != incarnation);
+            if sight.primary {
+                known.primary_by.push(incarnation);
+            }
             match Cause::try_from(sight.cause) {
                 Ok(Cause::InService) | Err(_) => _ = known.said.remove(&incarnation),
                 Ok(_) => _ = known.said.insert(incarnation, sight.cause),
@@ -178,8 +187,11 @@
         for key in keys {
             if let Some(known) = self.things.get_mut(&key) {
                 known.said.retain(|incarnation, _| seats.contains(incarnation));
+                known.primary_by.retain(|incarnation| seats.contains(incarnation));
                 if let Some(permit) = &mut known.permit {
-                    permit.unconfirmed.retain(|incarnation| seats.contains(incarnation));
+                    // Every grant since then tells of the fence, and is not gone by before the fence is carried out.
+                    let over = seen.roster.now >= permit.given.saturating_add(seen.membership);
+                    permit.unconfirmed.retain(|incarnation| !over && seats.contains(incarnation));
                 }
             }
             let cause = self.cause(&key, seen);
@@ -223,7 +235,10 @@
             counted.all += 1;
             let cause = self.cause(key, seen);
             let forced = known.permit.as_ref().is_some_and(|p| p.forced);
-            let leave = known.permit.is_some() && !(forced && planted(Fault::ForceUncounted));
+            if forced && planted(Fault::ForceUncounted) {
+                continue;
+            }
+            let leave = known.permit.is_some();
             if cause != Cause::InService || leave {
                 let left = if key.starts_with("proxy/") { Cause::Standby } else { Cause::Banned };
                 counted.out.push((key.clone(), if cause == Cause::InService { left } else { cause }));
@@ -288,10 +303,13 @@
             let most = limits.zone.of(zone.all);
             return within("proxies out of the zone", zone, most, 0);
         }
-        if known.primary && self.cause(key, seen) == Cause::InService {
+        if !known.primary_by.is_empty() && self.cause(key, seen) == Cause::InService {
             return Err(Denied::Primary);
         }
         let same = |other: &str, k: &Known| other.starts_with("member/") && k.group == known.group;
+        if !self.things.iter().any(|(other, k)| same(other, k) && !k.primary_by.is_empty()) {
+            return Err(Denied::PrimaryUnknown);
+        }
         let group = self.count(seen, same);
         let most = limits.group.of(group.all);
         within("members out of the group", group, most, limits.group_least)
--- a/crates/decisions/tests/outages.rs
+++ b/crates/decisions/tests/outages.rs
@@ -4,10 +4,11 @@
 use linenhill_decisions::outages::reporter::Reporter;
 use linenhill_decisions::outages::table::{Denied, Outages, Permit, Seen};
 use linenhill_decisions::outages::{Cap, Cause, Fence, Limits, Report, Sight, Thing};
-use linenhill_decisions::roster::Roster;
+use linenhill_decisions::roster::{Roster, Terms};
 use std::collections::BTreeMap;
 
 const LEASE: u64 = 1_000_000;
+const TERMS: Terms = Terms { lease_us: LEASE, membership_us: 10 * LEASE, drift_ppm: 10_000 };
 
 fn most(count: u64) -> Cap {
     Cap { count: Some(count), percent: None }
@@ -49,27 +50,31 @@
             (id.to_string(), Sight { group: 1, cause: *cause as i32, primary: *id == "m0" })
         };
         let report = Report { own: own as i32, sights: members.iter().map(sight).collect(), fenced };
-        let seen = Seen::new(&self.roster, LEASE);
+        let seen = Seen::new(&self.roster, &TERMS);
         self.outages.heard(&seen, &name, incarnation, "z1", &report);
         self.outages.tidy(&seen);
     }
 
     fn passes(&mut self, span: u64) {
         self.roster.pass(span);
-        self.outages.tidy(&Seen::new(&self.roster, LEASE));
+        self.outages.tidy(&Seen::new(&self.roster, &TERMS));
     }
 
     fn permit(&mut self, key: &str, by: &str, force: bool) -> Result<Permit, Denied> {
         let thing = Thing::of(key).expect("a key");
-        let seen = Seen::new(&self.roster, LEASE);
+        let seen = Seen::new(&self.roster, &TERMS);
         self.outages.permit(&seen, &thing, by, "a test", force)
     }
 
     fn out(&self) -> Vec<(String, Cause)> {
-        self.outages.out(&Seen::new(&self.roster, LEASE))
+        self.outages.out(&Seen::new(&self.roster, &TERMS))
     }
 }
 
+fn unconfirmed(fleet: &mut Fleet) -> usize {
+    fleet.permit("member/m1", "p0", false).expect("the permit").unconfirmed.len()
+}
+
 // Guards against two that are let out where one may be, a permit that is lost with its holder, and one that never ends.
 #[test]
 fn a_permit_counts_until_the_thing_is_seen_back() {
@@ -127,12 +132,22 @@
     assert!(fleet.permit("member/m1", "p1", false).is_err(), "somebody else has leave for it");
     fleet.confirms(0, Cause::InService, &[("m1", Cause::Banned)], permit.edition);
     fleet.confirms(1, Cause::InService, &[("m1", Cause::Banned)], permit.edition);
-    let left = |fleet: &mut Fleet| fleet.permit("member/m1", "p0", false).expect("it").unconfirmed.len();
-    assert_eq!(left(&mut fleet), 1);
+    assert_eq!(unconfirmed(&mut fleet), 1);
     // The third is cut off: it may still send there for as long as it has a seat, and no longer.
     fleet.roster.seats.remove("p2");
     fleet.passes(0);
-    assert_eq!(left(&mut fleet), 0);
+    assert_eq!(unconfirmed(&mut fleet), 0);
+    // One that is heard of and hears nothing: what it was granted before it could know is over by then.
+    let mut deaf = Fleet::new(2, limits(1, 1));
+    (0..2).for_each(|i| deaf.speaks(i, Cause::InService, &well));
+    deaf.permit("member/m1", "p0", false).expect("leave");
+    for _ in 0..10 {
+        deaf.passes(LEASE);
+        deaf.speaks(1, Cause::InService, &[]);
+    }
+    assert_eq!(unconfirmed(&mut deaf), 2);
+    deaf.passes(LEASE);
+    assert_eq!(unconfirmed(&mut deaf), 0);
     // Two of three may be out, but one stays: the primary, and m2 alone goes no more.
     fleet.speaks(0, Cause::InService, &[("m0", Cause::Ill)]);
     fleet.speaks(1, Cause::InService, &[("m0", Cause::Ill)]);
@@ -149,9 +164,8 @@
 #[test]
 fn what_few_see_is_theirs_and_what_is_gone_is_forgotten() {
     let mut fleet = Fleet::new(5, limits(1, 1));
-    (0..5).for_each(|i| {
-        fleet.speaks(i, Cause::InService, &[("m1", Cause::InService), ("m2", Cause::InService)])
-    });
+    let well = [("m0", Cause::InService), ("m1", Cause::InService), ("m2", Cause::InService)];
+    (0..5).for_each(|i| fleet.speaks(i, Cause::InService, &well));
     (0..2).for_each(|i| fleet.speaks(i, Cause::InService, &[("m1", Cause::Ill)]));
     assert!(fleet.out().is_empty());
     fleet.speaks(2, Cause::InService, &[("m1", Cause::Ill)]);
@@ -163,6 +177,7 @@
     assert!(!fleet.outages.forget(&Thing::Member("m2".into())));
 }
 
+#[allow(clippy::collapsible_match)] // A guard that asks for leave would hide it.
 /// A seeded history: proxies ask, are forced out, come back, die and start again; else who was let out beyond the limit.
 fn history(seed: u64) -> Result<(), String> {
     let (proxies, allowed) = (6, 2);
@@ -221,7 +236,8 @@
     }
     plant(Some(Fault::FenceUnconfirmed));
     let mut fleet = Fleet::new(2, limits(1, 1));
-    fleet.speaks(0, Cause::InService, &[("m1", Cause::InService), ("m2", Cause::InService)]);
+    let well = [("m0", Cause::InService), ("m1", Cause::InService), ("m2", Cause::InService)];
+    fleet.speaks(0, Cause::InService, &well);
     let early = fleet.permit("member/m1", "p0", false).expect("leave").unconfirmed.is_empty();
     plant(None);
     assert!(early);
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -111,8 +111,14 @@
                 Ok(()) => self.tell(Event::Standby, "draining"),
                 Err(no) => no,
             },
-            // Its permit ends once the fleet sees it serve.
-            Call::Active => self.tell(Event::Active, "serving"),
+            Call::Active => {
+                let answer = self.tell(Event::Active, "serving");
+                // Whoever came back before anybody saw it gone says so itself.
+                if let Some(fleet) = self.fleet.clone().filter(|_| self.bounded()) {
+                    spawn_local(async move { outages::come_back(&fleet).await });
+                }
+                answer
+            }
             Call::Enter(id, force) => match self.permit(|_| Thing::Member(id.clone()), force).await {
                 Ok(()) if self.bounded() => said(200, format!("{id} is out")),
                 Ok(()) => self.say(&id, true),
--- a/src/fleet/outages.rs
+++ b/src/fleet/outages.rs
@@ -15,6 +15,8 @@
 /// A wish that is granted but not confirmed by everybody is asked about again so often, and for so long.
 const CONFIRM_EVERY: Duration = Duration::from_millis(100);
 const CONFIRM_WITHIN: Duration = Duration::from_secs(4);
+/// How often a permit is given back where no keeper answers.
+const BACK_TRIES: usize = 100;
 
 /// Tells the fleet for as long as the program runs, and carries out its fence.
 pub async fn look_after(fleet: Rc<Fleet>, course: Rc<Course>, inbox: mpsc::UnboundedSender<Input>) {
@@ -85,6 +87,17 @@
     timeout(CONFIRM_WITHIN, confirmed).await.unwrap_or(Err(No::Unconfirmed(left)))
 }
 
+/// This proxy is back: its permit is given back, whether or not anybody saw it out. Tried for a while; where no keeper
+/// answers, the permit ends once the proxy was seen out and back, or operators say so.
+pub async fn come_back(fleet: &Fleet) {
+    for _ in 0..BACK_TRIES {
+        match back(fleet, &Thing::Proxy(fleet.name())).await {
+            Err(No::Unasked(_)) => sleep(fleet.renews_every()).await,
+            _ => return,
+        }
+    }
+}
+
 /// A thing is to come back.
 pub async fn back(fleet: &Fleet, thing: &Thing) -> Result<String, No> {
     let wish = OutageDoc { thing: thing.key(), wish: Wish::Back as i32, ..OutageDoc::default() };
