--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -10,16 +10,14 @@
 use linenhill_decisions::planted::Fault;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use together::{KEEPERS, LONG, Rules, TIGHT, WHOLE, World, binary, operator, play};
+use together::{Bounds, KEEPERS, LONG, RATE, RULES, Rules, TIGHT, WHOLE, World, binary, operator, play};
 use tokio::time::{sleep, timeout};
 
 /// A sequence of faults by seed, with clients throughout; then all is well, and must come to rest.
-async fn sequence(
-    seed: u64, proxies: usize, faults: usize, planted: Option<&'static str>,
-) -> Result<(usize, u64), String> {
+async fn sequence(seed: u64, proxies: usize, faults: usize, rules: Rules) -> Result<(usize, u64), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let label = format!("fleet-{seed}-{}", planted.unwrap_or("sound"));
-    let mut world = World::new(&label, proxies, planted).await;
+    let label = format!("fleet-{seed}-{}", rules.bounds == Bounds::Work);
+    let mut world = World::under(&label, proxies, None, rules, BTreeMap::new()).await;
     world.clients(WHOLE);
     world.settled().await;
     for _ in 0..faults {
@@ -29,6 +27,11 @@
     world.heal();
     world.settled().await;
     world.check().map_err(|e| format!("seed {seed}: {e}"))?;
+    // Whoever was admitted and stopped before it sent comes late: as many as there are clients.
+    let burst = world.counted[0].burst();
+    if burst > (RATE.1 as usize + WHOLE * proxies) as f64 {
+        return Err(format!("seed {seed}: {burst} beyond the rate at once, after {:?}", world.history));
+    }
     Ok((world.counted[0].most.get(), world.counted[0].served.get()))
 }
 
@@ -49,13 +52,25 @@
     let from = std::env::var("LINENHILL_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
     let (mut most, mut served) = (0, 0);
     for seed in from..from + many {
-        let (seen, done) = play(sequence(seed, proxies, faults, None)).unwrap_or_else(|e| panic!("{e}"));
+        let (seen, done) = play(sequence(seed, proxies, faults, RULES)).unwrap_or_else(|e| panic!("{e}"));
         println!("seed {seed}: at most {seen} of {WHOLE} connections, {done} requests served");
         (most, served) = (most.max(seen), served + done);
     }
     assert!(most >= WHOLE / 2 && served > 0, "at most {most} of {WHOLE} were in use, {served} served");
 }
 
+// Guards against attempts in flight at a member beyond the whole, and admissions beyond the rate, in the same sequences.
+#[test]
+fn attempts_and_admissions_keep_to_the_whole_fleets_budgets() {
+    let (many, proxies, faults) = sequences();
+    let rules = Rules { bounds: Bounds::Work, ..RULES };
+    for seed in 1..=many.min(20) {
+        let (most, served) = play(sequence(seed, proxies, faults, rules)).unwrap_or_else(|e| panic!("{e}"));
+        println!("seed {seed}: at most {most} of {WHOLE} attempts, {served} served");
+        assert!(served > 0);
+    }
+}
+
 // Guards against a checker that can't fail: a faulty division is seen at the members.
 #[cfg(feature = "planted-faults")]
 #[test]
@@ -266,3 +281,40 @@
         timeout(LONG, told).await.expect("a line");
     });
 }
+
+/// Milliseconds of reads one after another at a proxy: the middle, the 99th of a hundred, and the longest.
+async fn latencies(world: &World, proxy: usize, many: usize) -> (f64, f64, f64) {
+    let mut took = Vec::with_capacity(many);
+    for n in 0..many {
+        let began = std::time::Instant::now();
+        world.read_once(proxy, n).await;
+        took.push(began.elapsed().as_secs_f64() * 1e3);
+    }
+    took.sort_by(f64::total_cmp);
+    (took[many / 2], took[many * 99 / 100], took[many - 1])
+}
+
+// Not a test but a measurement: `make measure-budgets`. What a fleet costs a request, within one run.
+#[test]
+#[ignore = "a measurement"]
+fn measure_latency_with_and_without_a_fleet() {
+    play(async {
+        let rules = Rules { work: 0, bounds: Bounds::Work, ..RULES };
+        let mut world = World::under("latency", 1, None, rules, BTreeMap::new()).await;
+        world.settled().await;
+        world.start_alone().await;
+        for (proxy, what) in [(0, "in a fleet"), (1, "alone"), (0, "in a fleet"), (1, "alone")] {
+            let (middle, most, longest) = latencies(&world, proxy, 4_000).await;
+            println!("{what}: p50 {middle:.3} ms, p99 {most:.3} ms, longest {longest:.3} ms");
+        }
+        let killed = async {
+            for k in 0..KEEPERS {
+                sleep(Duration::from_millis(300)).await;
+                world.keepers[k].program = None;
+            }
+        };
+        killed.await;
+        let (middle, most, longest) = latencies(&world, 0, 4_000).await;
+        println!("all keepers killed: p50 {middle:.3} ms, p99 {most:.3} ms, longest {longest:.3} ms");
+    });
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -91,6 +91,22 @@
     command
 }
 
+/// The program's command with `socket` as its descriptor 5.
+pub fn inheriting(config: &std::path::Path, socket: &std::net::TcpListener, number: &str) -> Command {
+    let known = program(config);
+    let mut command = Command::new("sh");
+    command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", env!("CARGO_BIN_EXE_linenhill")]);
+    command.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket.try_clone().expect("a copy"))));
+    for (name, value) in known.get_envs() {
+        match value {
+            Some(value) => command.env(name, value),
+            None => command.env_remove(name),
+        };
+    }
+    command.env("LB_INHERITED_FD", number).stderr(Stdio::piped());
+    command
+}
+
 /// Starts the program and reads its log, up to the line that says where it listens.
 pub fn start(mut command: Command, config: std::path::PathBuf) -> Program {
     let mut child = command.spawn().expect("the program");
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -2,10 +2,9 @@
 
 mod harness;
 
-use harness::{Act, CONFIG, READ, answer, client, encoded, file, play_with, program, query, start};
+use harness::{Act, CONFIG, READ, answer, client, encoded, file, inheriting, play_with, query, start};
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::process::{Command, Stdio};
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -84,22 +83,6 @@
     });
 }
 
-/// The program's command with `socket` as its descriptor 5.
-fn inheriting(config: &std::path::Path, socket: &std::net::TcpListener, number: &str) -> Command {
-    let known = program(config);
-    let mut command = Command::new("sh");
-    command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", env!("CARGO_BIN_EXE_linenhill")]);
-    command.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket.try_clone().expect("a copy"))));
-    for (name, value) in known.get_envs() {
-        match value {
-            Some(value) => command.env(name, value),
-            None => command.env_remove(name),
-        };
-    }
-    command.env("LB_INHERITED_FD", number).stderr(Stdio::piped());
-    command
-}
-
 /// A figure by its name and labels.
 fn figure(text: &str, name: &str) -> u64 {
     let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
--- a/tests/pushed.rs
+++ b/tests/pushed.rs
@@ -207,3 +207,35 @@
         }
     });
 }
+
+// Guards against an upgrade after which nobody watches: the newcomer opens its own watch at once, whatever the old one
+// still has, and keeps it when the old one ends; until then the old one goes on hearing.
+#[test]
+fn an_upgrade_leaves_no_moment_without_a_watch() {
+    play("upgrade", |_, first, agent, [m1, ..]| async move {
+        let (call, _) = watched(&agent).await;
+        first.signal("-KILL");
+        first.end().await;
+        drop(call);
+        let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let version = || start(harness::inheriting(&first.config, &socket, "5"), first.config.clone());
+        let old = version();
+        let (mut olds, from) = watched(&agent).await;
+        assert_eq!(from, 1);
+        tell(&mut olds, true, &list(5, "m-1", &m1, "in_service")).await;
+        old.says("list version 5").await;
+        let new = version();
+        let (mut news, from) = watched(&agent).await;
+        assert_eq!(from, 1, "it knows the saved list only");
+        tell(&mut news, true, &list(6, "m-1", &m1, "in_service")).await;
+        new.says("list version 6").await;
+        tell(&mut olds, false, &list(7, "m-1", &m1, "in_service")).await;
+        old.says("list version 7").await;
+        old.signal("-TERM");
+        assert!(old.end().await.success());
+        tell(&mut news, false, &list(8, "m-1", &m1, "in_service")).await;
+        new.says("list version 8").await;
+        drop(news);
+        assert_eq!(watched(&agent).await.1, 8, "opened again when it ends, also after the upgrade");
+    });
+}
--- a/tests/together/mod.rs
+++ b/tests/together/mod.rs
@@ -36,10 +36,31 @@
     pub idle: u64,
     /// And answer after that.
     pub work: u64,
+    /// What is bounded.
+    pub bounds: Bounds,
 }
 
-pub const RULES: Rules =
-    Rules { lease: 1_000, membership: 4_000, drift_ppm: 20_000, outlives: 2_500, idle: 800, work: 20 };
+/// The budgets that are declared.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Bounds {
+    /// Connections at each member.
+    Connections,
+    /// Attempts in flight at each member, and admissions of the class `order`.
+    Work,
+}
+
+/// Admissions a second, and at once.
+pub const RATE: (u64, u64) = (60, 6);
+
+pub const RULES: Rules = Rules {
+    lease: 1_000,
+    membership: 4_000,
+    drift_ppm: 20_000,
+    outlives: 2_500,
+    idle: 800,
+    work: 20,
+    bounds: Bounds::Connections,
+};
 /// What ends soon outlives a lease by little: an overlap of leases shows.
 pub const TIGHT: Rules = Rules { lease: 1_000, membership: 20_000, outlives: 600, idle: 150, ..RULES };
 
@@ -50,6 +71,19 @@
     pub most: Cell<usize>,
     pub broken: RefCell<Vec<String>>,
     pub served: Cell<u64>,
+    /// Attempts in flight here.
+    pub flying: Cell<usize>,
+    /// When each admitted write first came, and which.
+    pub came: RefCell<(Vec<std::time::Instant>, std::collections::BTreeSet<String>)>,
+}
+
+/// An attempt in flight at a member, until it is answered or its connection is gone.
+struct Flying(Rc<Counted>);
+
+impl Drop for Flying {
+    fn drop(&mut self) {
+        self.0.flying.set(self.0.flying.get() - 1);
+    }
 }
 
 impl Counted {
@@ -62,8 +96,40 @@
         self.open.borrow().values().filter(alive).count()
     }
 
-    pub fn note(&self) {
+    /// An attempt begins.
+    fn attempt(&self, statement: &str, rules: Rules) {
+        if rules.bounds == Bounds::Connections {
+            return;
+        }
+        let flying = self.flying.get();
+        self.most.set(self.most.get().max(flying));
+        if flying > WHOLE {
+            self.broken.borrow_mut().push(format!("{flying} attempts in flight, of {WHOLE}"));
+        }
+        let id = statement.split('\'').nth(1).unwrap_or_default().to_string();
+        let mut came = self.came.borrow_mut();
+        if came.1.insert(id) {
+            came.0.push(std::time::Instant::now());
+        }
+    }
+
+    /// The most admissions beyond the rate in any window: more than the burst are too many, but for those that waited
+    /// between their admission and their arrival.
+    pub fn burst(&self) -> f64 {
+        let (mut level, mut most, mut before) = (0.0f64, 0.0f64, None::<std::time::Instant>);
+        for at in &self.came.borrow().0 {
+            let passed = before.map_or(0.0, |b| (*at - b).as_secs_f64());
+            level = (level - passed * RATE.0 as f64).max(0.0) + 1.0;
+            (most, before) = (most.max(level), Some(*at));
+        }
+        most
+    }
+
+    pub fn note(&self, rules: Rules) {
         let now = self.now();
+        if rules.bounds != Bounds::Connections {
+            return;
+        }
         self.most.set(self.most.get().max(now));
         if now > WHOLE {
             self.broken.borrow_mut().push(format!("{now} connections at once, of {WHOLE}"));
@@ -76,16 +142,20 @@
         let Ok((stream, _)) = listener.accept().await else { return };
         let std = stream.into_std().expect("a socket");
         counted.open.borrow_mut().insert(number, std.try_clone().expect("a second handle"));
-        counted.note();
+        counted.note(rules);
         let stream = TcpStream::from_std(std).expect("a socket");
         let counted = counted.clone();
         spawn_local(async move {
             let count = counted.clone();
-            let act = move |_: String| {
+            let act = move |statement: String| {
                 let count = count.clone();
                 async move {
                     count.served.set(count.served.get() + 1);
+                    count.flying.set(count.flying.get() + 1);
+                    let flying = Flying(count.clone());
+                    count.attempt(&statement, rules);
                     sleep(Duration::from_millis(rules.work)).await;
+                    drop(flying);
                     Act::Row("served".into())
                 }
             };
@@ -141,10 +211,19 @@
         .map(|(i, w)| format!("keeper {{ name: \"k{i}\" address: \"{}\" }}\n", w.at))
         .collect();
     let Rules { lease, membership, drift_ppm, outlives, .. } = rules;
+    let held = format!("held {{ units: {whole} outlives_ms: {outlives} }} floor: 1");
+    let budgets = match rules.bounds {
+        Bounds::Connections => format!("budget {{ name: \"connections\" what: CONNECTIONS {held} }}"),
+        Bounds::Work => format!(
+            "budget {{ name: \"attempts\" what: ATTEMPTS {held} }}\nbudget {{ name: \"orders\" what: ADMISSIONS \
+             class: \"order\" rate {{ per_second: {} burst: {} }} floor: 2 }}",
+            RATE.0, RATE.1
+        ),
+    };
     format!(
         "cluster: \"test\"\nrevision: {revision}\ninstance {{ listen: \"127.0.0.1:0\" zone: \"{name}\" store: \"{store}\" }}\n{keepers}\
          terms {{ lease_ms: {lease} membership_ms: {membership} drift_ppm: {drift_ppm} }}\n\
-         budget {{ name: \"connections\" what: CONNECTIONS held {{ units: {whole} outlives_ms: {outlives} }} floor: 1 }}\n"
+         {budgets}\n"
     )
 }
 
@@ -330,6 +409,24 @@
         }
     }
 
+    /// One read at a proxy.
+    pub async fn read_once(&self, i: usize, n: usize) {
+        let at = self.serving.borrow()[i].expect("a proxy");
+        let read = format!("/* id=l{i}x{n},c=list,d=900,cluster=1 */ SELECT val FROM state WHERE uid = 'a'");
+        say(at, &read).await.expect("an answer");
+    }
+
+    /// One more proxy, that is part of no fleet.
+    pub async fn start_alone(&mut self) {
+        let mut command = binary();
+        command.env("LB_CONFIG", &self.config).env("LB_LISTEN", "127.0.0.1:0");
+        let program = start(command, self.config.clone());
+        let at = program.as_ref().expect("a proxy starts").address(" listens on ");
+        self.serving.borrow_mut().push(Some(at));
+        let (name, operator) = ("alone".to_string(), self.proxies[0].operator.clone());
+        self.proxies.push(Node { name, program, ways: ways().await, operator, stopped: false });
+    }
+
     /// Clients that read at every proxy, `many` at each at a time.
     pub fn readers(&self, many: usize) {
         for n in 0..self.proxies.len() * many {
