--- /dev/null
+++ b/crates/lab/tests/bounds.rs
@@ -0,0 +1,92 @@
+//! What keepers keep and take is bounded, and beyond a bound whoever asks hears so; nobody else's share suffers.
+
+use linenhill_cluster::link::Identity;
+use linenhill_cluster::node::{Action, Event, Node, TICK_US, founded};
+use linenhill_cluster::store::{self, Disk};
+use linenhill_cluster::wire::{Body, Envelope, ProxyAsk};
+use linenhill_decisions::roster::{Roster, SEATS_MOST, Terms, Unseated};
+use linenhill_decisions::shares::{Ask, Budget, Need};
+use linenhill_lab::disk::Image;
+use linenhill_settings::operator::{Keeper, Operator};
+use std::rc::Rc;
+
+fn identity(name: String, incarnation: u64) -> Identity {
+    Identity { cluster: "lab".into(), name, incarnation, keepers: vec!["k0".into()] }
+}
+
+/// A keeper that leads by itself, and its clock.
+fn leader() -> (Node<usize>, u64) {
+    let address = ([10, 0, 0, 1], 1).into();
+    let budget = Budget { whole: 9, floor: 1, burst: 0, outlives_us: 1, each: false };
+    let operator = Operator {
+        cluster: "lab".into(),
+        listen: None,
+        allow: Vec::new(),
+        zone: String::new(),
+        store: None,
+        keepers: vec![Keeper { name: "k0".into(), address }],
+        terms: Terms { lease_us: 1_000_000, membership_us: 4_000_000, drift_ppm: 10_000 },
+        budgets: [("b".to_string(), budget)].into(),
+        bindings: Vec::new(),
+        revision: 1,
+        outages: None,
+    };
+    let whose = store::Identity { id: 7, founding: 8, name: "k0".into(), cluster: "lab".into() };
+    let disk = Disk::create_on(Image::default(), whose, Some(founded(7, "k0", address))).expect("a store");
+    let mut node = Node::start(operator, Rc::new(identity("k0".into(), 7)), disk, 0, 1).expect("a node");
+    let mut now = 0;
+    while node.leader_term().is_none() || node.state().table.lines.is_empty() {
+        now += TICK_US;
+        node.handle(now, [Event::Tick]).expect("a tick");
+    }
+    (node, now)
+}
+
+fn asks(i: usize, bytes: usize) -> Envelope {
+    let need = Need { in_use: 0, demand: 1 };
+    let ask = Ask { seq: 1, needs: [("b".to_string(), need)].into(), ..Ask::default() };
+    let body = ProxyAsk { ask, version: "v".repeat(bytes), zone: String::new(), report: None };
+    identity(format!("p{i}"), 1_000 + i as u64).say(0, Body::Ask(body))
+}
+
+// Guards against requests that wait without bound at a leader that can't write entries, and against one that is too long
+// for the frames between keepers.
+#[test]
+fn requests_beyond_what_can_wait_are_sent_away_and_long_ones_refused() {
+    let (mut node, now) = leader();
+    let long = node.handle(now + 1, [Event::Came(asks(0, 300 << 10), 1)]).expect("handled");
+    let refused =
+        |a: &Action<usize>| matches!(a, Action::Answer(1, Envelope { body: Some(Body::Refused(_)), .. }));
+    assert!(long.iter().any(refused));
+    let many = 20_000;
+    let events = (0..many).map(|i| Event::Came(asks(i, 0), i));
+    let actions = node.handle(now + 2, events).expect("handled");
+    let away =
+        |a: &&Action<usize>| matches!(a, Action::Answer(_, Envelope { body: Some(Body::Elsewhere(_)), .. }));
+    let sent_away = actions.iter().filter(away).count();
+    assert!((many - 16_384..many).contains(&sent_away), "{sent_away} of {many}");
+    // Those that wait are answered all the same, once there is time to write.
+    let mut granted = 0;
+    for tick in 1..20 {
+        let actions = node.handle(now + tick * TICK_US, [Event::Tick]).expect("a tick");
+        let grant = |a: &&Action<usize>| {
+            matches!(a, Action::Answer(_, Envelope { body: Some(Body::Granted(_)), .. }))
+        };
+        granted += actions.iter().filter(grant).count();
+    }
+    assert!(granted >= SEATS_MOST - 1, "{granted} were granted");
+    assert!(node.state().table.roster.seats.len() <= SEATS_MOST);
+}
+
+// Guards against a roster without end, and against seats that are refused for ever once it was full.
+#[test]
+fn a_full_roster_refuses_newcomers_until_somebody_leaves() {
+    let mut roster = Roster::default();
+    for i in 0..SEATS_MOST as u64 {
+        assert_eq!(roster.ask(&format!("p{i}"), i + 1, 1, None), Ok(true));
+    }
+    assert_eq!(roster.ask("late", 1 << 40, 1, None), Err(Unseated::Full));
+    assert_eq!(roster.ask("p7", 1 << 41, 1, None), Ok(true), "a restart needs no new seat");
+    roster.seats.remove("p9");
+    assert_eq!(roster.ask("late", 1 << 40, 2, None), Ok(true));
+}
