--- a/crates/lab/src/together.rs
+++ b/crates/lab/src/together.rs
@@ -9,9 +9,9 @@
 use linenhill_cluster::store::{self, Disk};
 use linenhill_cluster::wire::{Body, Envelope, Operate, ProxyAsk};
 use linenhill_decisions::roster::Terms;
-use linenhill_decisions::shares::Budget;
 use linenhill_decisions::shares::holder::{Holder, Leave};
 use linenhill_decisions::shares::seeking::Seeking;
+use linenhill_decisions::shares::{Budget, Budgets};
 use linenhill_settings::operator::{Keeper, Operator};
 use prost::Message;
 use std::cmp::Reverse;
@@ -188,19 +188,7 @@
         let named = (0..plan.keepers).map(|i| Keeper { name: format!("k{i}"), address: address(i) });
         let Plan { whole, floor, outlives: outlives_us, .. } = plan;
         let budget = Budget { whole, floor, burst: 0, outlives_us, each: false };
-        let operator = Operator {
-            cluster: "lab".into(),
-            listen: None,
-            allow: Vec::new(),
-            zone: String::new(),
-            store: None,
-            keepers: named.collect(),
-            terms: plan.terms,
-            budgets: [(BUDGET.to_string(), budget)].into(),
-            bindings: Vec::new(),
-            revision: 1,
-            outages: None,
-        };
+        let operator = operator(named.collect(), plan.terms, [(BUDGET.to_string(), budget)].into());
         let clock = |rng: &mut fastrand::Rng| {
             let drift = if plan.drift { u64::from(plan.terms.drift_ppm as u32) } else { 0 };
             // Mostly at the edges, where a margin that is too small shows.
@@ -742,6 +730,23 @@
     }
 }
 
+/// The operators' file of a fleet that bounds nothing but these budgets.
+pub fn operator(keepers: Vec<Keeper>, terms: Terms, budgets: Budgets) -> Operator {
+    Operator {
+        cluster: "lab".into(),
+        listen: None,
+        allow: Vec::new(),
+        zone: String::new(),
+        store: None,
+        keepers,
+        terms,
+        budgets,
+        bindings: Vec::new(),
+        revision: 1,
+        outages: None,
+    }
+}
+
 fn identity(operator: &Operator, name: &str, incarnation: u64) -> Identity {
     let keepers = operator.keepers.iter().map(|k| k.name.clone()).collect();
     Identity { cluster: operator.cluster.clone(), name: name.to_string(), incarnation, keepers }
--- a/crates/lab/tests/bounds.rs
+++ b/crates/lab/tests/bounds.rs
@@ -7,7 +7,8 @@
 use linenhill_decisions::roster::{Roster, SEATS_MOST, Terms, Unseated};
 use linenhill_decisions::shares::{Ask, Budget, Need};
 use linenhill_lab::disk::Image;
-use linenhill_settings::operator::{Keeper, Operator};
+use linenhill_lab::together::operator;
+use linenhill_settings::operator::Keeper;
 use std::rc::Rc;
 
 fn identity(name: String, incarnation: u64) -> Identity {
@@ -18,19 +19,9 @@
 fn leader() -> (Node<usize>, u64) {
     let address = ([10, 0, 0, 1], 1).into();
     let budget = Budget { whole: 9, floor: 1, burst: 0, outlives_us: 1, each: false };
-    let operator = Operator {
-        cluster: "lab".into(),
-        listen: None,
-        allow: Vec::new(),
-        zone: String::new(),
-        store: None,
-        keepers: vec![Keeper { name: "k0".into(), address }],
-        terms: Terms { lease_us: 1_000_000, membership_us: 4_000_000, drift_ppm: 10_000 },
-        budgets: [("b".to_string(), budget)].into(),
-        bindings: Vec::new(),
-        revision: 1,
-        outages: None,
-    };
+    let terms = Terms { lease_us: 1_000_000, membership_us: 4_000_000, drift_ppm: 10_000 };
+    let keepers = vec![Keeper { name: "k0".into(), address }];
+    let operator = operator(keepers, terms, [("b".to_string(), budget)].into());
     let whose = store::Identity { id: 7, founding: 8, name: "k0".into(), cluster: "lab".into() };
     let disk = Disk::create_on(Image::default(), whose, Some(founded(7, "k0", address))).expect("a store");
     let mut node = Node::start(operator, Rc::new(identity("k0".into(), 7)), disk, 0, 1).expect("a node");
