--- a/crates/lab/tests/together.rs
+++ b/crates/lab/tests/together.rs
@@ -10,9 +10,13 @@
 
 /// One short history: what was most in use, or what was broken.
 fn history(seed: u64, faults: usize) -> Result<u64, String> {
+    played(seed, faults, |plan| plan)
+}
+
+fn played(seed: u64, faults: usize, change: impl Fn(Plan) -> Plan) -> Result<u64, String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let (keepers, proxies) = ([1, 3, 3, 5][rng.usize(0..4)], rng.usize(2..5));
-    let mut world = World::new(Plan::small(seed, keepers, proxies)).map_err(|e| e.to_string())?;
+    let mut world = World::new(change(Plan::small(seed, keepers, proxies))).map_err(|e| e.to_string())?;
     (0..proxies).for_each(|i| world.wants(i, rng.u64(1..8)));
     if world.wait(60 * SECOND, World::settled).is_none() {
         return Err(world.story("it never began"));
@@ -61,13 +65,22 @@
 #[test]
 fn each_planted_fault_is_caught() {
     use linenhill_decisions::planted::{Fault, plant};
+    // Clocks far apart, and units that end soon: an overlap of leases shows. The sound program bears it.
+    let harsh = |mut plan: Plan| {
+        (plan.terms.drift_ppm, plan.outlives) = (200_000, 50_000);
+        plan
+    };
     for (fault, name) in Fault::SHARES {
         plant(Some(fault));
-        let found = (1..400).find_map(|seed| history(seed, 12).err());
+        let broken = |e: &String| e.contains(" in use at ");
+        let seeds = || 1..400;
+        let found = seeds().find_map(|seed| history(seed, 12).err().filter(broken));
+        let found = found.or_else(|| seeds().find_map(|seed| played(seed, 12, harsh).err().filter(broken)));
         plant(None);
         println!("{name}: {}", found.as_deref().unwrap_or("not caught").lines().next().unwrap_or_default());
         assert!(found.is_some(), "{name} was not caught");
     }
+    (1..100).for_each(|seed| _ = played(seed, 12, harsh).unwrap_or_else(|e| panic!("not planted: {e}")));
 }
 
 fn rested(plan: Plan, wants: impl Fn(usize) -> u64) -> World {
