A proxy's first report of thousands of members is told in parts

Seen on reading the change once more: a report held up to 4,096 members, keepers refuse requests of over 256 KiB, so a proxy before thousands of members with long names would never be granted anything. 512 go in a request, the rest with the next ones; the test is red without it.

--- a/crates/cluster/src/wire.rs
+++ b/crates/cluster/src/wire.rs
@@ -10,7 +10,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 /// The version of this protocol.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Longest frame of a keeper: a snapshot of the most holdings that a table keeps.
 pub const FRAME_MOST: usize = 64 << 20;
 /// Longest frame of anybody else.
--- a/crates/decisions/src/outages/reporter.rs
+++ b/crates/decisions/src/outages/reporter.rs
@@ -7,6 +7,8 @@
 
 /// The members that are spoken of at most.
 const SIGHTS_MOST: usize = 4_096;
+/// And in one request, which keepers refuse when it is too long; the others go with the next ones.
+const SIGHTS_EACH: usize = 512;
 
 /// One incarnation of a proxy.
 #[derive(Clone, Debug, Default)]
@@ -46,7 +48,7 @@
     pub fn report(&mut self, seq: u64) -> Report {
         let news = |(member, sight): &(&String, &Sight)| self.told.get(*member) != Some(sight);
         let sights: BTreeMap<String, Sight> =
-            self.sights.iter().filter(news).map(|(m, s)| (m.clone(), s.clone())).collect();
+            self.sights.iter().filter(news).take(SIGHTS_EACH).map(|(m, s)| (m.clone(), s.clone())).collect();
         self.pending = Some((seq, sights.clone()));
         Report { own: self.own, sights, fenced: self.carried }
     }
--- a/crates/decisions/tests/outages.rs
+++ b/crates/decisions/tests/outages.rs
@@ -304,3 +304,17 @@
     reporter.begin_anew();
     assert!(reporter.own(Cause::Standby) && !reporter.own(Cause::Standby));
 }
+
+// Guards against a first report of thousands of members that is too long to be taken, so that its proxy is never heard.
+#[test]
+fn a_long_report_is_told_in_parts() {
+    let mut reporter = Reporter::default();
+    let sight = Sight { group: 1, cause: Cause::InService as i32, primary: false };
+    reporter.see((0..1_300).map(|i| (format!("m{i}"), sight.clone())).collect());
+    let mut parts = Vec::new();
+    for seq in 1..5 {
+        parts.push(reporter.report(seq).sights.len());
+        reporter.granted(seq, None);
+    }
+    assert_eq!(parts, [512, 512, 276, 0]);
+}
