--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -275,7 +275,10 @@
     /// The complete list as this instance last saw it, maybe stale.
     Cached(Arc<Vec<ListEntry>>),
     /// A call failed or the subscription dropped.
-    Failed,
+    Failed {
+        /// The watch fell silent: for how long it may have been.
+        quiet: Option<Span>,
+    },
 }
 
 /// A member's role.
--- a/crates/decisions/src/asking.rs
+++ b/crates/decisions/src/asking.rs
@@ -5,11 +5,21 @@
 //! again with all the others. So the first call of a proxy that has a saved list has a slot of its own by its
 //! place in the fleet, and after a failure the gap is drawn from a window that holds a turn for each proxy,
 //! doubling up to two (`docs/design/fleet.md`).
+//!
+//! A watch that fell silent is another matter: what it misses counts as told soon, and a drain's grace runs from there.
+//! Until then the calls use what time is left, all of it by chance, since all watches may have fallen silent at once
+//! (`docs/design/crossings.md`).
 
 /// A turn that the service is taken to need for a call, in microseconds. A guess: its capacity is told nowhere.
 const TURN: u64 = 40_000;
 /// The windows of the smallest fleets: after a first failure, and the longest, in microseconds.
 const WINDOW: (u64, u64) = (250_000, 2_000_000);
+/// What a silent watch misses counts as told so long after it fell silent (the platform's figure), in microseconds.
+const TOLD_AFTER: u64 = 6_000_000;
+/// Of the time that is left then, what is set aside for the call itself and what comes after it, in microseconds.
+const CALL: u64 = 1_000_000;
+/// The least gap, in microseconds: a service that fails calls at once is not asked in a loop.
+const GAP_LEAST: u64 = 50_000;
 
 /// The state of asking, all times in microseconds on the caller's clock.
 pub struct Asking {
@@ -20,6 +30,9 @@
     first: u64,
     longest: u64,
     window: u64,
+    grace: u64,
+    /// A watch has fallen silent, and nothing was heard since: by then the next call must go out at the latest.
+    by: Option<u64>,
 }
 
 impl Asking {
@@ -33,7 +46,12 @@
             Some(me) => ((u64::from(me % fleet.max(1)) * TURN).min(longest), TURN),
             None => (0, turns.min(longest)),
         };
-        Asking { at: now, slot, first, longest, window: first }
+        Asking { at: now, slot, first, longest, window: first, grace: 0, by: None }
+    }
+
+    /// The same, where a member that drains may be sent to for so long after it was told.
+    pub fn within_grace(self, grace: u64) -> Asking {
+        Asking { grace, ..self }
     }
 
     /// A saved list of so many members is at hand: unless it is empty the first call can wait for its slot, and in it
@@ -45,14 +63,26 @@
         });
     }
 
-    /// The call brought a list.
+    /// The call brought a list, or the word that there is nothing new.
     pub fn told(&mut self) {
-        self.window = self.first;
+        (self.window, self.by) = (self.first, None);
     }
 
-    /// The call failed, or the watch ended; `chance` (0 to 1) places the next one in the later half of the window.
-    pub fn failed(&mut self, now: u64, chance: f64) {
-        self.at = Some(now + (self.window as f64 * (0.5 + 0.5 * chance)) as u64);
+    /// The call failed, or the watch ended; `quiet` where it fell silent, and since when. `chance` (0 to 1) places the
+    /// next one in the later half of the window, or anywhere in the time left since a watch fell silent.
+    pub fn failed(&mut self, now: u64, chance: f64, quiet: Option<u64>) {
+        self.by = self.by.filter(|by| *by > now);
+        if let Some(quiet) = quiet {
+            let told = now.saturating_sub(quiet).saturating_add(TOLD_AFTER).saturating_add(self.grace);
+            let by = told.saturating_sub(CALL).max(now);
+            // A second silent watch leaves no more time: what the first one missed still counts from there.
+            self.by = Some(self.by.map_or(by, |first| first.min(by)));
+        }
+        let gap = match self.by.map(|by| by - now) {
+            Some(room) if room > 0 => (self.window.min(room) as f64 * chance) as u64,
+            _ => (self.window as f64 * (0.5 + 0.5 * chance)) as u64,
+        };
+        self.at = Some(now + gap.max(GAP_LEAST));
         self.window = (self.window * 2).min(self.longest);
     }
 
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -112,7 +112,7 @@
         if closed {
             self.forget(id, out);
         } else if r.open.is_empty() {
-            if self.may_repeat(id) { self.place(id, out) } else { self.give_up(id, out) }
+            self.place(id, out);
         }
         self.pump(group, out);
     }
@@ -173,13 +173,13 @@
         }
     }
 
-    /// Whether another send can't make the effect happen twice.
-    fn may_repeat(&self, id: RequestId) -> bool {
-        let Some(r) = self.requests.get(&id) else { return false };
-        match (self.set.classes[r.class].effect, r.ran_from) {
+    /// Whether another send can't make the effect happen twice, also once its connection is up.
+    pub(super) fn may_repeat(&self, r: &Held) -> bool {
+        let (out, spare) = (r.open.iter().map(|a| a.sent), MARGIN + self.set.limits.connect_timeout.0);
+        match (self.set.classes[r.class].effect, r.ran_from.into_iter().chain(out).min()) {
             _ if r.attempts >= self.set.limits.max_attempts => false,
             (Effect::Safe, _) | (_, None) => true,
-            (Effect::Keyed { window, .. }, Some(from)) => self.now + MARGIN < from + window.0,
+            (Effect::Keyed { window, .. }, Some(from)) => self.now + spare < from + window.0,
             (Effect::Unsafe, Some(_)) => false,
         }
     }
@@ -194,7 +194,7 @@
             let a = r.open.first().filter(|a| r.open.len() == 1 && !a.cancelled)?;
             let (class, mean) = (&self.set.classes[r.class], self.means[r.class].max(1.0));
             let (m, primary) = (self.members.get(&a.member)?, self.first_on_primary(r.class));
-            let safe = class.effect != Effect::Unsafe && self.may_repeat(*id);
+            let safe = class.effect != Effect::Unsafe && self.may_repeat(r);
             let by = if class.late_worth > 0.0 { r.deadline } else { r.aim_at };
             let useful = now + (mean * 0.7) as Us <= by;
             // A primary that answers what came far later is not slow: this answer is lost.
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -12,8 +12,8 @@
                 self.asking.known(self.now, chance, e.len());
                 (e, true)
             }
-            ListUpdate::Failed if self.set.discovery == Discovery::Pushed => return,
-            ListUpdate::Failed => return self.asking.failed(self.now, chance),
+            ListUpdate::Failed { .. } if self.set.discovery == Discovery::Pushed => return,
+            ListUpdate::Failed { quiet } => return self.asking.failed(self.now, chance, quiet.map(|q| q.0)),
         };
         self.asking.told();
         entries.iter().for_each(|e| self.on_entry(e));
--- a/crates/decisions/src/policy/refusals.rs
+++ b/crates/decisions/src/policy/refusals.rs
@@ -20,7 +20,7 @@
         let half = self.now + 2 * MARGIN >= r.arrived.midpoint(r.deadline);
         let away = self.primary(r.group).is_none_or(|p| self.members[&p].cold_since.is_some());
         let stuck = half && !r.reached && away;
-        in_time && !stuck && r.attempts < self.set.limits.max_attempts
+        in_time && !stuck && self.may_repeat(r)
     }
 
     /// The final answer of a request that can't succeed, at once: refused where a retry does no harm.
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -210,7 +210,8 @@
         let sharers = f64::from(set.fleet_size.max(1));
         Router {
             sharers: (sharers, sharers),
-            asking: Asking::new(set.me, set.fleet_size, set.rules.ask_within.0, first),
+            asking: Asking::new(set.me, set.fleet_size, set.rules.ask_within.0, first)
+                .within_grace(set.rules.drain_grace.0),
             buckets: vec![Allowance::new(now); set.tenants.len()],
             set,
             rng: RefCell::new(rng),
--- a/crates/decisions/tests/asking.rs
+++ b/crates/decisions/tests/asking.rs
@@ -23,7 +23,7 @@
                     *told = (*told).min(free_at);
                     asking.told();
                 } else {
-                    asking.failed(now, rng.f64());
+                    asking.failed(now, rng.f64(), None);
                 }
             }
         }
@@ -58,7 +58,7 @@
             assert!(asking.due(0), "without a list the first call is due at once");
             let mut now = 0;
             for _ in 0..6 {
-                asking.failed(now, rng.f64());
+                asking.failed(now, rng.f64(), None);
                 let from = now;
                 now = (from..).step_by(MS as usize).find(|at| asking.due(*at)).expect("due");
                 gaps.push(now - from);
@@ -72,3 +72,60 @@
     pushed.known(0, 0.5, 60);
     assert!(!pushed.due(u64::MAX), "lists that come unasked are never asked for");
 }
+
+// Guards against members that drain unheard of: what a silent watch misses counts as told 6 s after it fell silent, and
+// a drain's grace runs from there. Silence is noticed after 3 s; each call takes a second; the first ones may fail, or
+// their watches be silent, too. A fleet that lost all its watches at once must not call in one wave either.
+#[test]
+fn after_a_silent_watch_the_next_call_comes_before_a_drain_binds() {
+    const NOTICED: u64 = 3_000 * MS;
+    for (fleet, grace) in [(2, 250), (2, 2_000), (12, 250), (12, 2_000), (300, 250), (300, 2_000)] {
+        let (binds, mut calls, mut rng) = (6_000 * MS + grace * MS, Vec::new(), fastrand::Rng::with_seed(11));
+        for me in 0..fleet {
+            let mut asking = Asking::new(Some(me), fleet, WITHIN, Some(0)).within_grace(grace * MS);
+            assert!(asking.due(0));
+            asking.told();
+            let due = |asking: &mut Asking, from: u64| {
+                (from..).step_by(MS as usize).find(|at| asking.due(*at)).expect("due")
+            };
+            asking.failed(NOTICED, rng.f64(), Some(NOTICED));
+            let first = due(&mut asking, NOTICED);
+            assert!(first + 1_000 * MS <= binds + MS, "{fleet}, {grace}: called after {first} us");
+            calls.push(first);
+            // A call that fails at once is followed by others, the sooner the less time is left.
+            let (mut now, mut after) = (first, 0);
+            while now + 1_050 * MS < binds {
+                asking.failed(now, rng.f64(), None);
+                now = due(&mut asking, now);
+                after += u32::from(now + 1_000 * MS <= binds + MS);
+            }
+            assert!(first + 1_200 * MS >= binds || after > 0, "{fleet}, {grace}: nothing after {first} us");
+            // Heard again, it has the gaps of before; what was missed before the next silence counts from there.
+            asking.told();
+            asking.failed(60_000 * MS, 0.0, None);
+            assert!(due(&mut asking, 60_000 * MS) >= 60_000 * MS + 125 * MS);
+        }
+        let wave = |from: u64| calls.iter().filter(|at| (from..from + 100 * MS).contains(at)).count();
+        let most = (NOTICED..binds).step_by(50 * MS as usize).map(wave).max().expect("a wave");
+        assert!(fleet < 300 || most < 40, "{fleet}, {grace}: {most} calls within 100 ms");
+    }
+}
+
+// Guards against a second silent watch that moves the time by which members count as told of; and against figures out of
+// order: a silence as long as the clock, one that is long over.
+#[test]
+fn a_second_silent_watch_leaves_no_more_time_and_odd_figures_end_in_no_panic() {
+    let mut asking = Asking::new(None, 300, WITHIN, Some(0)).within_grace(250 * MS);
+    asking.failed(3_000 * MS, 1.0, Some(3_000 * MS));
+    assert!(!asking.due(5_249 * MS) && asking.due(5_251 * MS), "6.25 s and less the call's second");
+    asking.failed(5_000 * MS, 1.0, Some(1_000 * MS));
+    assert!(!asking.due(5_249 * MS) && asking.due(5_251 * MS), "the first silence counts");
+    asking.failed(20_000 * MS, 1.0, None);
+    assert!(!asking.due(27_999 * MS) && asking.due(28_000 * MS), "what is over is over: gaps as ever");
+    for (now, quiet, grace) in [(0, u64::MAX, 0), (u64::MAX / 2, u64::MAX, u64::MAX), (5, 0, u64::MAX)] {
+        let mut asking = Asking::new(None, u32::MAX, WITHIN, Some(0)).within_grace(grace);
+        asking.failed(now, 1.0, Some(quiet));
+        asking.failed(now, 0.0, None);
+        assert!(asking.due(now + WITHIN));
+    }
+}
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -267,7 +267,7 @@
         let n = rig.out.iter().filter(|a| **a == Action::Subscribe).count();
         if n > asked {
             asked = n;
-            rig.event(Event::List(ListUpdate::Failed));
+            rig.event(Event::List(ListUpdate::Failed { quiet: None }));
         }
     }
     assert!((3..=6).contains(&asked), "asked {asked} times in 2 s");
@@ -287,6 +287,28 @@
     }
 }
 
+// Guards against a repeat that was allowed when it was held for want of a member, and is sent when its key's window is
+// over; or decided just before, and written once its connection is up.
+#[test]
+fn a_keyed_request_that_waited_for_its_repeat_is_not_sent_past_its_window() {
+    for (waits, again) in [(400, true), (800, false), (1_200, false)] {
+        let mut s = settings();
+        s.classes[0].effect = Effect::Keyed { scope: RepeatScope::Group, window: Span(1_000 * MS) };
+        let mut rig = Rig::new(s);
+        let write = rig.ask(WRITE, 5_000, None);
+        let all = |state| (1..=3).map(|n| ListEntry { state, ..entry(n) }).collect::<Vec<_>>();
+        rig.list(all(MemberState::Draining));
+        rig.answer(write, 0, 1, Outcome::Reset, 1, None, None);
+        assert_eq!((rig.sends(write).len(), rig.finals(write)), (1, 0), "held");
+        rig.wait(waits);
+        rig.list(all(MemberState::InService));
+        rig.report(1, rig.now, Role::Primary);
+        rig.wait(100);
+        assert_eq!(rig.sends(write).len() == 2, again, "after {waits} ms");
+        assert_eq!(rig.out.contains(&Action::Fail { id: write }), !again, "after {waits} ms");
+    }
+}
+
 #[test]
 fn a_slow_read_gets_one_second_copy_where_allowed() {
     for allowed in [false, true] {
--- a/src/bin/linenhill-benchlink/wire.rs
+++ b/src/bin/linenhill-benchlink/wire.rs
@@ -245,7 +245,7 @@
                     "diff" => ListUpdate::Changes(list()?),
                     "snapshot" => ListUpdate::Full(list()?),
                     "disk" => ListUpdate::Cached(list()?),
-                    "error" => ListUpdate::Failed,
+                    "error" => ListUpdate::Failed { quiet: None },
                     v => return Err(p.bad("how", v)),
                 })
             }
--- a/src/discovery/heard.rs
+++ b/src/discovery/heard.rs
@@ -1,5 +1,6 @@
 //! What discovery was last heard to say, and when: carries out [`Freshness`] with a clock and the log.
 
+use crate::api::Span;
 use crate::clock::Clock;
 use crate::freshness::{Freshness, Notice};
 use log::{info, warn};
@@ -46,6 +47,11 @@
         self.freshness.borrow_mut().list(self.clock.now().0);
     }
 
+    /// How long nothing was said.
+    pub fn quiet(&self) -> Span {
+        Span(self.freshness.borrow().age(self.clock.now().0).0)
+    }
+
     /// Seconds since anything was said (or since the start), and since a list was taken, if one was.
     pub fn age(&self) -> (f64, Option<f64>) {
         let (word, list) = self.freshness.borrow().age(self.clock.now().0);
--- a/src/discovery/http.rs
+++ b/src/discovery/http.rs
@@ -1,4 +1,5 @@
-//! An HTTP/1.1 answer as a stream of lines, whether its body is chunked or runs to the connection's end.
+//! An HTTP/1.1 answer as a stream of lines, whether its body is chunked or runs to the connection's end. A JSON object
+//! may be indented over several lines: it is one item.
 
 use bytes::{Buf, Bytes, BytesMut};
 use httparse::Status;
@@ -21,6 +22,8 @@
     Chunk,
     /// A line is longer than any list.
     Line,
+    /// A list breaks off, and the next line begins.
+    Unfinished,
     /// The connection itself failed.
     Io(io::Error),
 }
@@ -37,6 +40,7 @@
             HttpError::Head => write!(f, "malformed head of an answer"),
             HttpError::Chunk => write!(f, "malformed chunk"),
             HttpError::Line => write!(f, "a line over {LINE_MOST} bytes"),
+            HttpError::Unfinished => write!(f, "a list without its end"),
             HttpError::Io(e) => write!(f, "{e}"),
         }
     }
@@ -49,7 +53,7 @@
 pub enum Piece {
     /// The status.
     Head(u16),
-    /// A line of the body, without its end.
+    /// A line of the body, without its end; or the lines over which one object is indented.
     Line(Bytes),
     /// The body is over.
     End,
@@ -66,11 +70,49 @@
     Over,
 }
 
+/// How far a text has been looked at for its end: objects may span lines, outside of their texts.
+#[derive(Default)]
+struct Scan {
+    at: usize,
+    depth: u32,
+    quoted: bool,
+    escaped: bool,
+    /// The line looked at holds something.
+    filled: bool,
+}
+
+impl Scan {
+    /// The length of the first whole item, without the line's end.
+    fn item(&mut self, text: &[u8]) -> Result<Option<usize>, HttpError> {
+        while let Some(byte) = text.get(self.at) {
+            match (byte, self.quoted) {
+                (b'\n', false) if self.depth == 0 => {
+                    return Ok(Some(std::mem::take(self).at));
+                }
+                // No text of JSON goes over a line's end, and no object holds an empty line: this one was cut.
+                (b'\n', quoted) if quoted || !self.filled => return Err(HttpError::Unfinished),
+                (b'\n', _) => self.filled = false,
+                (_, true) if self.escaped => self.escaped = false,
+                (b'\\', true) => self.escaped = true,
+                (b'"', _) => self.quoted = !self.quoted,
+                (_, true) => {}
+                (b'{' | b'[', _) => self.depth = self.depth.saturating_add(1),
+                (b'}' | b']', _) => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            self.filled |= !byte.is_ascii_whitespace();
+            self.at += 1;
+        }
+        Ok(None)
+    }
+}
+
 /// The codec.
 #[derive(Default)]
 pub struct WatchCodec {
     state: State,
     text: BytesMut,
+    scan: Scan,
 }
 
 impl Decoder for WatchCodec {
@@ -79,7 +121,7 @@
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Piece>, HttpError> {
         loop {
-            if let Some(end) = self.text.iter().position(|b| *b == b'\n') {
+            if let Some(end) = self.scan.item(&self.text)? {
                 let line = self.text.split_to(end).freeze();
                 self.text.advance(1);
                 return Ok(Some(Piece::Line(line)));
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -1,10 +1,13 @@
 //! Lists of members: decoded from JSON, checked, and numbered for the decisions.
 
-use crate::api::{GroupId, KindId, ListEntry, MemberId, MemberState, Time, ZoneId};
+use crate::api::{GroupId, KindId, ListEntry, MemberId, MemberState, Span, Time, ZoneId};
 use crate::settings::{self, FormError, need};
 use miniserde::Deserialize;
 use std::net::SocketAddr;
 
+/// The address of a member that leaves, where the list's can't be read.
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
 /// A list as it is written.
 #[derive(Deserialize)]
 pub struct ListDoc {
@@ -66,50 +69,74 @@
     Known(Listing),
     /// What discovery told.
     Told(Listing),
+    /// A call was answered, with nothing new.
+    Unchanged,
     /// A call failed, or a watch ended.
-    Failed,
+    Failed {
+        /// The watch fell silent: for how long it may have been.
+        quiet: Option<Span>,
+    },
 }
 
-/// Reads one line of a watch.
-pub fn decode(line: &[u8]) -> Result<Listing, FormError> {
+/// Reads one list of a watch: what can be read of it, and what is wrong with the entries that can't. One entry with an
+/// address that can't be must not keep the news of all others from being heard.
+pub fn decode(line: &[u8]) -> Result<(Listing, Vec<FormError>), FormError> {
     let text = std::str::from_utf8(line).map_err(|_| FormError::NotJson)?;
-    settings::parse::<ListDoc>(text)?.listing()
+    let doc = settings::parse::<ListDoc>(text)?;
+    let (version, full) = (need("version", doc.version)?, need("full", doc.full)?);
+    let (mut servers, mut skipped) = (Vec::new(), Vec::new());
+    for (i, entry) in need("servers", doc.servers)?.into_iter().enumerate() {
+        match entry.server(i) {
+            Ok(server) => servers.push(server),
+            Err(problem) => skipped.push(problem),
+        }
+    }
+    Ok((Listing { version, full, servers }, skipped))
 }
 
 impl ListDoc {
     /// Checks every field.
     pub fn listing(self) -> Result<Listing, FormError> {
-        let mut servers = Vec::new();
-        for (i, s) in need("servers", self.servers)?.into_iter().enumerate() {
-            let at = |field: &str| format!("servers[{i}].{field}");
-            let wrong = |field: &str| FormError::Wrong(at(field));
-            let count = |field: &str, value: Option<f64>| match value.unwrap_or(0.0) {
-                v if v.is_finite() && v >= 0.0 => Ok(v as u64),
-                _ => Err(wrong(field)),
-            };
-            let id = need(&at("id"), s.id)?;
-            let addr = need(&at("addr"), s.addr)?.parse().map_err(|_| wrong("addr"))?;
-            let state = match need(&at("state"), s.state)?.as_str() {
-                "in_service" => MemberState::InService,
-                "terminating" => MemberState::Draining,
-                "terminated" => MemberState::Gone,
-                _ => return Err(wrong("state")),
-            };
-            let group = u32::try_from(count("cell", s.cell)?).map_err(|_| wrong("cell"))?;
-            let weight = s.weight.unwrap_or(1.0);
-            let started_ms = Some(count("started_ms", s.started_ms)?).filter(|ms| *ms > 0);
-            let (zone, kind) = (s.zone.unwrap_or_default(), s.kind.unwrap_or_default());
-            let primary = match s.recovery.as_deref() {
-                Some("off") => true,
-                Some("on") | None => false,
-                Some(_) => return Err(wrong("recovery")),
-            };
-            servers.push(Server { id, addr, zone, kind, group, state, weight, started_ms, primary });
-        }
+        let entries = need("servers", self.servers)?.into_iter().enumerate();
+        let servers = entries.map(|(i, entry)| entry.server(i)).collect::<Result<_, _>>()?;
         Ok(Listing { version: need("version", self.version)?, full: need("full", self.full)?, servers })
     }
 }
 
+impl ServerDoc {
+    fn server(self, i: usize) -> Result<Server, FormError> {
+        let at = |field: &str| format!("servers[{i}].{field}");
+        let wrong = |field: &str| FormError::Wrong(at(field));
+        let count = |field: &str, value: Option<f64>| match value.unwrap_or(0.0) {
+            v if v.is_finite() && v >= 0.0 => Ok(v as u64),
+            _ => Err(wrong(field)),
+        };
+        let id = need(&at("id"), self.id)?;
+        let state = match need(&at("state"), self.state)?.as_str() {
+            "in_service" => MemberState::InService,
+            "terminating" => MemberState::Draining,
+            "terminated" => MemberState::Gone,
+            _ => return Err(wrong("state")),
+        };
+        let addr = match need(&at("addr"), self.addr)?.parse() {
+            Ok(addr) => addr,
+            // Nothing is sent there any more, wherever it is; that it leaves counts all the same.
+            Err(_) if state != MemberState::InService => NOWHERE,
+            Err(_) => return Err(wrong("addr")),
+        };
+        let group = u32::try_from(count("cell", self.cell)?).map_err(|_| wrong("cell"))?;
+        let weight = self.weight.unwrap_or(1.0);
+        let started_ms = Some(count("started_ms", self.started_ms)?).filter(|ms| *ms > 0);
+        let (zone, kind) = (self.zone.unwrap_or_default(), self.kind.unwrap_or_default());
+        let primary = match self.recovery.as_deref() {
+            Some("off") => true,
+            Some("on") | None => false,
+            Some(_) => return Err(wrong("recovery")),
+        };
+        Ok(Server { id, addr, zone, kind, group, state, weight, started_ms, primary })
+    }
+}
+
 /// The numbers that names have for the decisions, the same over all lists.
 #[derive(Default)]
 pub struct Names {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -4,7 +4,7 @@
 pub mod http;
 pub mod list;
 
-use crate::api::Time;
+use crate::api::{Discovery, Span, Time};
 use crate::clock::Clock;
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::counters::Counters;
@@ -21,18 +21,19 @@
 use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::FramedRead;
 
 /// A connection that is not up by then has failed.
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_500);
-/// A call waits in turn behind those of all other proxies. Given up, it would still cost a turn, and the next one
-/// would wait behind it: so it may take this part of the time after which silence counts as having been told, ...
-const ANSWER_PART: f64 = 0.75;
-/// ... between these bounds.
-const ANSWER_WITHIN: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(10));
-/// A watch says something every 2 s, if only an empty line: silent for this long, it is dead.
+/// A watch says something every 2 s, if only an empty line: silent for this long, it is dead. So is one whose first
+/// word doesn't come: it may have fallen silent right after the call, and what it misses counts as told 6 s after that.
+/// A call that waits in turn behind those of all other proxies has 3 s for the same reason, though given up it still
+/// costs its turn.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
+/// An agent on this machine answers at once: its first word comes within this, so that three watches that fall silent
+/// one after the other leave a part of the 6 s.
+const AGENT_WITHIN: Duration = Duration::from_millis(1_500);
 
 /// When the next watch is opened.
 pub enum Keeping {
@@ -79,6 +80,7 @@
     inbox: mpsc::UnboundedSender<Input>, counters: Rc<Counters>, within: Duration, mut rng: fastrand::Rng,
 ) {
     let (clock, mut last) = (heard.clock(), None);
+    let mut opened;
     loop {
         tokio::select! {
             () = keeping.due(clock) => {}
@@ -87,7 +89,8 @@
         loop {
             let addr = *at.borrow_and_update();
             counters.calls.add();
-            keeping.opening(clock.now());
+            opened = clock.now();
+            keeping.opening(opened);
             let ended = tokio::select! {
                 reason = watch(addr, &heard, &inbox, within) => Some(reason),
                 () = moved(&mut at) => None,
@@ -104,8 +107,12 @@
             }
             keeping.moved(clock.now());
         }
-        keeping.ended(clock.now(), rng.f64());
-        if inbox.send(Input::List(News::Failed)).is_err() {
+        let now = clock.now();
+        keeping.ended(now, rng.f64());
+        // It may have fallen silent right after its last word, or after the call if it never said any.
+        let quiet = Span(heard.quiet().0.min(now.0.saturating_sub(opened.0)));
+        let quiet = (last == Some(CloseReason::Silent)).then_some(quiet);
+        if inbox.send(Input::List(News::Failed { quiet })).is_err() {
             return;
         }
     }
@@ -119,15 +126,18 @@
     }
 }
 
-/// How long a call may wait for its answer, where silence counts as having been told after `ask_within`.
-pub fn answer_within(ask_within: Duration) -> Duration {
-    ask_within.min(ANSWER_WITHIN.1 * 2).mul_f64(ANSWER_PART).clamp(ANSWER_WITHIN.0, ANSWER_WITHIN.1)
+/// How long the first word of a watch may take.
+pub fn answer_within(discovery: Discovery) -> Duration {
+    match discovery {
+        Discovery::OnRequest => SILENT_AFTER,
+        Discovery::Pushed => AGENT_WITHIN,
+    }
 }
 
 async fn watch(
     addr: SocketAddr, heard: &Heard, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
 ) -> CloseReason {
-    let version = heard.version();
+    let (version, by) = (heard.version(), Instant::now() + within);
     let call = format!("GET /v1/endpoints?watch=1&from={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
     let connect = async {
         let mut stream = TcpStream::connect(addr).await?;
@@ -140,7 +150,7 @@
         Ok(Err(_)) => return CloseReason::Refused,
         Err(_) => return CloseReason::ConnectTimeout,
     };
-    follow(stream, heard, inbox, within).await
+    follow(stream, heard, inbox, by.saturating_duration_since(Instant::now())).await
 }
 
 /// Passes on what a watch brings until it ends, and notes what was heard. Its first word may take `within`.
@@ -148,7 +158,7 @@
     stream: impl AsyncRead + Unpin, heard: &Heard, inbox: &mpsc::UnboundedSender<Input>, within: Duration,
 ) -> CloseReason {
     let mut pieces = FramedRead::new(stream, WatchCodec::default());
-    let (mut patience, mut first) = (within, true);
+    let (mut patience, mut first, mut up) = (within, true, true);
     loop {
         let line = match timeout(patience, pieces.next()).await {
             Err(_) => return CloseReason::Silent,
@@ -157,8 +167,8 @@
                 warn!("discovery: {problem}");
                 return CloseReason::Protocol;
             }
+            // With nothing to tell, the first line is an empty one.
             Ok(Some(Ok(Piece::Head(200)))) => {
-                // With nothing to tell, the first line is an empty one.
                 patience = SILENT_AFTER;
                 continue;
             }
@@ -170,10 +180,21 @@
         };
         patience = SILENT_AFTER;
         heard.word();
-        if line.iter().all(u8::is_ascii_whitespace) {
+        let blank = line.iter().all(u8::is_ascii_whitespace);
+        // Also without a list the call has succeeded.
+        if std::mem::take(&mut up) && blank && inbox.send(Input::List(News::Unchanged)).is_err() {
+            return CloseReason::Stopping;
+        }
+        if blank {
             continue;
         }
-        match list::decode(&line) {
+        let decoded = list::decode(&line).map(|(listing, skipped)| {
+            for problem in skipped {
+                warn!("discovery: an entry was not taken: {problem}");
+            }
+            listing
+        });
+        match decoded {
             // An old change would undo newer ones, a drain among them. A whole list that a new watch begins with counts
             // whatever its number: the service may have begun anew.
             Ok(listing) if listing.version < heard.version() && !(listing.full && first) => {
@@ -190,8 +211,12 @@
                     return CloseReason::Stopping;
                 }
             }
-            // The old list is still the best there is.
-            Err(problem) => warn!("discovery: a list was not taken: {problem}"),
+            // The old list is still the best there is, but what this line said is not said again on this watch, and
+            // later changes stand on it: a new watch begins from the version that is held.
+            Err(problem) => {
+                warn!("discovery: a list was not taken: {problem}");
+                return CloseReason::Protocol;
+            }
         }
     }
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -124,7 +124,7 @@
     let desk = Rc::new(Desk::new(intake, admit, book.clone(), inbox.clone()));
     let subscribe = Rc::new(Notify::new());
     let version = known.as_ref().map_or(0, |k| k.version);
-    let within = discovery::answer_within(Duration::from_micros(site.settings.rules.ask_within.0));
+    let within = discovery::answer_within(site.settings.discovery);
     let heard = Rc::new(Heard::new(version, clock));
     let keeping = match site.settings.discovery {
         api::Discovery::OnRequest => Keeping::Asked(subscribe.clone()),
--- a/src/stages/route.rs
+++ b/src/stages/route.rs
@@ -148,7 +148,10 @@
             Input::Probed(member, outcome, report) => {
                 self.handle(Event::Probed { member, outcome, report });
             }
-            Input::List(News::Failed) => self.handle(Event::List(ListUpdate::Failed)),
+            Input::List(News::Failed { quiet }) => self.handle(Event::List(ListUpdate::Failed { quiet })),
+            Input::List(News::Unchanged) => {
+                self.handle(Event::List(ListUpdate::Changes(Arc::default())));
+            }
             Input::List(News::Known(listing)) => {
                 let entries = self.entries(listing);
                 self.list(ListUpdate::Cached(entries));
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use linenhill::api::{GroupId, MemberId, MemberState, Outcome, RequestId, Span, Time};
+use linenhill::api::{Discovery, GroupId, MemberId, MemberState, Outcome, RequestId, Span, Time};
 use linenhill::budget::Budget;
 use linenhill::clients::desk::Desk;
 use linenhill::clients::doorway::{Doorway, Seated};
@@ -52,7 +52,7 @@
 }
 
 /// How long the first word of a watch may take here.
-const WITHIN: Duration = Duration::from_millis(7_500);
+const WITHIN: Duration = Duration::from_secs(3);
 
 /// Follows a watch that is told these parts, 2 s apart; what came of it, and why it ended.
 async fn follow(parts: Vec<String>) -> (u64, usize, CloseReason) {
@@ -77,20 +77,30 @@
     (heard.version(), lists, reason)
 }
 
-// Guards against trusting a watch whose service is gone without a word: only its blank lines show it alive.
+// Guards against trusting a watch whose service is gone without a word: only its blank lines show it alive, and a word
+// that is never finished doesn't. And against a line that is passed over: what it said is not said again on this watch.
 #[tokio::test(start_paused = true)]
-async fn a_silent_watch_is_dead_and_a_bad_line_leaves_the_list() {
+async fn a_silent_watch_is_dead_and_a_bad_line_ends_it_and_leaves_the_list() {
     let list = r#"{"version":43,"full":false,"servers":[]}"#;
     let bad = r#"{"version":44,"full":false,"servers":[{"id":5}]}"#;
-    let alive = [chunk(""), chunk(""), chunk(""), chunk(""), chunk(list), chunk(bad), chunk("")];
-    let parts = [vec![HEAD.to_string()], alive.to_vec()].concat();
-    assert_eq!(follow(parts).await, (43, 1, CloseReason::Silent));
+    let alive = ["", "", "", "", list].map(chunk);
+    let alive = [&[HEAD.to_string()], &alive[..]].concat();
+    assert_eq!(follow(alive.clone()).await, (43, 1, CloseReason::Silent));
+    let later = list.replace("43", "45");
+    let parts = [&alive[..], &[chunk(bad), chunk(&later)]].concat();
+    assert_eq!(follow(parts).await, (43, 1, CloseReason::Protocol));
     assert_eq!(follow(vec![]).await, (41, 0, CloseReason::Silent));
-    // A call that waits in turn for 4 s is not given up: the next one would wait behind it.
-    let late = [vec![String::new(), String::new(), HEAD.to_string()], vec![chunk(list)]].concat();
-    assert_eq!(follow(late).await, (43, 1, CloseReason::Silent));
-    assert_eq!(discovery::answer_within(Duration::from_secs(10)), WITHIN);
-    assert_eq!(discovery::answer_within(Duration::MAX), Duration::from_secs(10));
+    // A call that waits in turn for 2 s is not given up: the next one would wait behind it. After 3 s it may have fallen
+    // silent right after it was made, and what it misses counts as told 6 s after that.
+    let late = |steps| [vec![String::new(); steps], vec![HEAD.to_string(), chunk(list)]].concat();
+    assert_eq!(follow(late(1)).await, (43, 1, CloseReason::Silent));
+    assert_eq!(follow(late(2)).await, (41, 0, CloseReason::Silent));
+    assert_eq!(discovery::answer_within(Discovery::OnRequest), WITHIN);
+    assert_eq!(discovery::answer_within(Discovery::Pushed), Duration::from_millis(1_500));
+    // Bytes that trickle in without ever making a line.
+    let trickle: Vec<String> = (0..9).map(|_| "1\r\n \r\n".to_string()).collect();
+    let parts = [vec![HEAD.to_string()], trickle].concat();
+    assert_eq!(follow(parts).await, (41, 0, CloseReason::Silent));
     let busy = "HTTP/1.1 503 Service Unavailable\r\n\r\n".to_string();
     assert_eq!(follow(vec![busy]).await, (41, 0, CloseReason::Status));
     assert_eq!(follow(vec![format!("{HEAD}0\r\n\r\n")]).await, (41, 0, CloseReason::WatchEnded));
@@ -591,7 +601,7 @@
             r#"{{"version":{version},"full":true,"servers":[{{"id":"{id}","addr":"127.0.0.1:1",
                 "zone":"a","kind":"m2","cell":1,"state":"in_service"}}]}}"#
         );
-        let told = list::decode(line.as_bytes()).expect("a list");
+        let (told, _) = list::decode(line.as_bytes()).expect("a list");
         assert!(inbox.send(Input::List(News::Told(told))).is_ok());
     };
     let play = async {
@@ -675,6 +685,38 @@
     assert_eq!(follow(stream(&[new, anew])).await, (50, 1, CloseReason::Silent), "but not amid a watch");
 }
 
+// Guards against lists that are lost because they come indented, also in pieces; and against a list that was cut and
+// would take all later lines as its own.
+#[tokio::test(start_paused = true)]
+async fn an_indented_list_is_one_list_and_a_cut_one_ends_the_watch() {
+    let entry =
+        r#"{"id":"s-{\"{","addr":"10.1.0.1:6543","zone":"a\\","kind":"m2","cell":1,"state":"in_service"}"#;
+    let flat = format!(r#"{{"version":50,"full":true,"servers":[{entry},{entry}],"more":{{"x":[1,[2]]}}}}"#);
+    let indented = flat.replace('[', "[\r\n    ").replace(",\"", ",\n  \"").replace('}', "\n}");
+    assert!(indented.lines().count() > 20);
+    for text in [&flat, &indented] {
+        let whole = chunk("") + &chunk(text) + &chunk("") + &chunk(&text.replace("50", "51"));
+        for cut in (1..whole.len()).step_by(89) {
+            let parts = vec![HEAD.to_string() + &whole[..cut], whole[cut..].to_string()];
+            assert_eq!(follow(parts).await, (51, 2, CloseReason::Silent), "cut at {cut}");
+        }
+    }
+    let next = chunk("") + &chunk(&flat);
+    for cut in (1..indented.len()).step_by(7) {
+        let parts = vec![HEAD.to_string() + &chunk(&indented[..cut]), next.clone()];
+        assert_eq!(follow(parts).await, (41, 0, CloseReason::Protocol), "cut at {cut}");
+    }
+    // The members' entries stand for themselves: one that can't be read keeps nobody else's news from being heard.
+    let odd = flat.replacen("10.1.0.1:6543", "10.1.0.1:port", 1);
+    assert_eq!(follow(vec![HEAD.to_string() + &chunk(&odd)]).await, (50, 1, CloseReason::Silent));
+    let (listing, skipped) = linenhill::discovery::list::decode(odd.as_bytes()).expect("a list");
+    assert_eq!((listing.servers.len(), skipped.len()), (1, 1));
+    assert!(skipped[0].to_string().contains("servers[0].addr"), "{}", skipped[0]);
+    let leaves = odd.replacen("in_service", "terminating", 1);
+    let (listing, skipped) = linenhill::discovery::list::decode(leaves.as_bytes()).expect("a list");
+    assert_eq!((listing.servers.len(), skipped.len()), (2, 0), "that it leaves counts, wherever it is");
+}
+
 // Guards against a word that is lost when two versions write at once, when the file is torn, or when its new text is as
 // long as the old; and against a foreign file that is written over.
 #[tokio::test]
