What nobody waits for any more is not written once its connection is up

Cause, by a test on real sockets: a client that left while its attempt's connection came up was told to Route as Gone; the job was over, but exchange() in members/attempt.rs looked at drains alone before it wrote, and the attempt was called off only where limits.cancel allows it (policy/refusals.rs, forget). Giving up what has no byte written is no cancellation: each attempt now sees its job's end before its first byte, and its connection is kept for the next. Session::answer saw no end while its input was broken or a long message waited behind the request, and pass() none between two parts of a long answer: the first reads on, the second where memory is free, else and in the third the socket's own state is looked at ten times a second.

tests/crossings.rs forces both orders of each pair with members, discovery and clients that stop at a step.

--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -14,13 +14,14 @@
 use crate::stages::intake::IntakeError;
 use crate::stages::{Answer, Flow, Passed};
 use bytes::{Bytes, BytesMut};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, DuplexStream, Interest, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::Framed;
@@ -53,6 +54,8 @@
 const LONG_LOOKS: u32 = 60;
 /// The comment of a statement is looked for in so many bytes.
 const COMMENT_MOST: usize = 1024;
+/// While nothing of a client is read, its end is looked for this often.
+const END_LOOK: Duration = Duration::from_millis(100);
 /// A buffer that grew past this is given back after the answer.
 const BUFFER_KEPT: usize = 32 * 1024;
 
@@ -105,6 +108,24 @@
     Later(Claim, Instant),
 }
 
+/// A client's connection.
+pub trait Client: AsyncRead + AsyncWrite + Unpin {
+    /// Whether the client has ended it, also where what it sent before that is not read yet.
+    fn ended(&self) -> bool {
+        false
+    }
+}
+
+impl Client for TcpStream {
+    fn ended(&self) -> bool {
+        let ready = self.ready(Interest::READABLE).now_or_never();
+        ready.and_then(Result::ok).is_some_and(|ready| ready.is_read_closed())
+    }
+}
+
+/// Without a socket, an end shows once all before it is read.
+impl Client for DuplexStream {}
+
 struct Session<S> {
     framed: Framed<S, FrontendCodec>,
     desk: Rc<Desk>,
@@ -129,7 +150,7 @@
 }
 
 /// Serves a connection to its end, and says why it ended.
-pub async fn run<S: AsyncRead + AsyncWrite + Unpin>(
+pub async fn run<S: Client>(
     stream: S, desk: Rc<Desk>, seated: Seated, mut view: watch::Receiver<View>,
 ) -> CloseReason {
     let framed = Framed::new(stream, FrontendCodec::new(desk.memory()));
@@ -200,7 +221,7 @@
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> Session<S> {
+impl<S: Client> Session<S> {
     async fn serve(&mut self, view: &mut watch::Receiver<View>) -> Result<(), CloseReason> {
         self.start(view).await?;
         loop {
@@ -419,7 +440,13 @@
     async fn pass(&mut self, mut flow: Flow, pending: &mut Pending) -> Result<(), CloseReason> {
         self.reply([Wire::Raw(std::mem::take(&mut flow.first))]).await?;
         loop {
-            match flow.rest.recv().await {
+            // A member may take its time between two parts: what waits behind is not sent for a client that has left.
+            let passed = tokio::select! {
+                biased;
+                passed = flow.rest.recv() => passed,
+                () = left(self.framed.get_ref()) => return Err(CloseReason::ClientGone),
+            };
+            match passed {
                 Some(Passed::Part(part)) => {
                     let written = timeout(TAKE_WITHIN, self.framed.get_mut().write_all(&part)).await;
                     written.map_err(|_| CloseReason::WriteTimeout)?.map_err(|_| CloseReason::ClientGone)?;
@@ -461,13 +488,35 @@
 
     async fn answer(&mut self, pending: &mut Pending) -> Result<Answer, CloseReason> {
         loop {
-            let reads = self.broken.is_none() && self.announced.is_none();
+            if self.broken.is_some() {
+                // What follows is of no use, but for the end behind it.
+                let stream = self.framed.get_mut();
+                return tokio::select! {
+                    biased;
+                    answer = pending.answer() => Ok(answer),
+                    () = async { while away(stream).await {} } => Err(CloseReason::ClientGone),
+                };
+            }
+            if self.announced.is_some() {
+                return tokio::select! {
+                    biased;
+                    answer = pending.answer() => Ok(answer),
+                    () = left(self.framed.get_ref()) => Err(CloseReason::ClientGone),
+                };
+            }
             tokio::select! {
                 biased;
                 answer = pending.answer() => return Ok(answer),
-                next = self.framed.next(), if reads => match next {
+                next = self.framed.next() => match next {
                     None | Some(Err(PgError::Io(_))) => return Err(CloseReason::ClientGone),
-                    Some(Ok(Frontend::Announced(length))) => self.announced = Some(length),
+                    // Read on where memory is free: a client's end shows behind what it sent. Else only where that fits
+                    // into the machine's buffers.
+                    Some(Ok(Frontend::Announced(length))) => match self.desk.long_memory(length) {
+                        Some((memory, bytes)) if let Ok(granted) = memory.clone().try_acquire_many_owned(bytes) => {
+                            self.framed.codec_mut().grant(granted);
+                        }
+                        _ => self.announced = Some(length),
+                    },
                     Some(Ok(Frontend::Terminate)) if self.waiting.is_empty() => {
                         return Err(CloseReason::ClientGone);
                     }
@@ -522,6 +571,13 @@
     }
 }
 
+/// Returns once the client has left a connection of which nothing is read.
+async fn left(stream: &impl Client) {
+    while !stream.ended() {
+        sleep(END_LOOK).await;
+    }
+}
+
 /// Reads some input away, keeping no buffer while it waits; false at its end.
 async fn away<S: AsyncRead + Unpin>(stream: &mut S) -> bool {
     poll_fn(|cx| {
--- a/src/members/attempt.rs
+++ b/src/members/attempt.rs
@@ -31,6 +31,8 @@
     pub until: Instant,
     /// It is not the request's first attempt.
     pub repeat: bool,
+    /// The request is over: answered, or its client has left. What is not written by then is not written any more.
+    pub over: Rc<Cell<bool>>,
 }
 
 /// How it ended.
@@ -84,13 +86,18 @@
 }
 
 async fn exchange(
-    pool: &Pool, member: MemberId, statement: impl FnOnce() -> (Bytes, Bytes), progress: &Progress,
-    unit: impl FnOnce() -> Option<Unit>, written: impl FnOnce(),
+    pool: &Pool, member: MemberId, over: &Cell<bool>, statement: impl FnOnce() -> (Bytes, Bytes),
+    progress: &Progress, unit: impl FnOnce() -> Option<Unit>, written: impl FnOnce(),
 ) -> Result<(Reply, Option<Link>), Outcome> {
-    // The list may tell of a drain while a connection comes up: what was decided before it is not sent after it.
-    let open = || if pool.admits(member) { Ok(()) } else { Err(Outcome::Ignored) };
+    // The list may tell of a drain while a connection comes up: what was decided before it is not sent after it. Nor is
+    // what nobody waits for any more: that takes no leave to call off work at a member, where there is none yet.
+    let open = || if pool.admits(member) && !over.get() { Ok(()) } else { Err(Outcome::Ignored) };
     open()?;
     let mut link = link(pool, member).await?;
+    if over.get() && pool.admits(member) {
+        pool.give(member, link);
+        return Err(Outcome::Ignored);
+    }
     open()?;
     *progress.reason.borrow_mut() = Some(link.reason());
     // The shares are asked at the moment of use: a process that was stopped finds its lease over here.
@@ -117,14 +124,14 @@
 pub async fn run(
     pool: Pool, errand: Errand, called_off: oneshot::Receiver<()>, written: impl FnOnce(),
 ) -> Ending {
-    let Errand { member, payload, until, repeat } = errand;
+    let Errand { member, payload, until, repeat, over } = errand;
     let progress = Progress::default();
     let statement = || {
         let left = until.saturating_duration_since(Instant::now());
         payload.pieces((left.as_millis() as u64).max(1))
     };
     let unit = || if repeat && !pool.shares().repeat() { None } else { pool.attempt(member) };
-    let work = exchange(&pool, member, statement, &progress, unit, written);
+    let work = exchange(&pool, member, &over, statement, &progress, unit, written);
     tokio::pin!(work);
     tokio::select! {
         biased;
@@ -180,7 +187,8 @@
     let progress = Progress::default();
     let statement = || (Bytes::from_static(b"SHOW health"), Bytes::new());
     let unit = || pool.shares().probe().then(Unit::default);
-    let work = exchange(&pool, member, statement, &progress, unit, || ());
+    let never = Cell::new(false);
+    let work = exchange(&pool, member, &never, statement, &progress, unit, || ());
     let Ok(done) = tokio::time::timeout(pool.connect_timeout(), work).await else {
         return (Outcome::TimedOut, LoadReport::default());
     };
--- a/src/stages/send.rs
+++ b/src/stages/send.rs
@@ -6,7 +6,9 @@
 use crate::members::attempt::{self, Ending, Errand};
 use crate::members::pool::Pool;
 use crate::request::Payload;
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -16,7 +18,8 @@
     deadline: Instant,
     sent: u32,
     out: BTreeMap<u32, oneshot::Sender<()>>,
-    over: bool,
+    /// Seen by the attempts that are still to be written.
+    over: Rc<Cell<bool>>,
 }
 
 /// The stage.
@@ -36,7 +39,7 @@
 
     /// Keeps what is to be sent for a request.
     pub fn keep(&mut self, id: RequestId, payload: Payload, deadline: Instant) {
-        let job = Job { payload, deadline, sent: 0, out: BTreeMap::new(), over: false };
+        let job = Job { payload, deadline, sent: 0, out: BTreeMap::new(), over: Rc::default() };
         self.jobs.insert(id, job);
     }
 
@@ -50,7 +53,7 @@
         };
         let number = job.sent;
         job.sent += 1;
-        if job.over || number >= self.most || started >= job.deadline {
+        if job.over.get() || number >= self.most || started >= job.deadline {
             let _ = inbox.send(ended(id, number, member, started, Ending::of(Outcome::Ignored)));
             return;
         }
@@ -60,7 +63,8 @@
             Some(t) => job.deadline.min(started + Duration::from_micros(t.0)),
             None => job.deadline,
         };
-        let errand = Errand { member, payload: job.payload.clone(), until, repeat: number > 0 };
+        let (payload, over) = (job.payload.clone(), job.over.clone());
+        let errand = Errand { member, payload, until, repeat: number > 0, over };
         let (pool, book) = (self.pool.clone(), self.book.clone());
         let counted = book.clone();
         book.sent();
@@ -78,10 +82,10 @@
         }
     }
 
-    /// The request has had its final answer.
+    /// The request has had its final answer, or its client has left: what is not written yet stays here.
     pub fn over(&mut self, id: RequestId) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.over = true;
+            job.over.set(true);
             self.tidy(id);
         }
     }
@@ -95,7 +99,7 @@
     }
 
     fn tidy(&mut self, id: RequestId) {
-        if self.jobs.get(&id).is_some_and(|j| j.over && j.out.is_empty()) {
+        if self.jobs.get(&id).is_some_and(|j| j.over.get() && j.out.is_empty()) {
             self.jobs.remove(&id);
         }
     }
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,498 @@
+//! Where two events cross, on real sockets: members, discovery and clients stop at a step and go on at the test's word,
+//! so the order of the two is made here. Nothing looks at a clock: each step waits for what the one before brings about.
+//! `docs/design/crossings.md` names the pairs.
+
+mod harness;
+
+use harness::{CONFIG, Program, READ, WRITE, answer, client, encoded, file, program, query, start};
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+const PUSHED: &str = include_str!("../examples/pushed.json");
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// No step takes so long, however slow the machine: what is waited for never comes.
+const NEVER: Duration = Duration::from_secs(100);
+
+/// The stage on which the test plays everybody but the program.
+struct Stage {
+    at: SocketAddr,
+    program: Rc<Program>,
+    members: Vec<TcpListener>,
+    discovery: TcpListener,
+}
+
+/// Starts the program with so many members in its saved list, all played by the test, and no probes.
+fn play<F: Future<Output = ()>>(
+    name: &str, config: &str, members: usize, change: &[(&str, &str)], test: impl FnOnce(Rc<Stage>) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let seen = RefCell::new(None);
+    let all = async {
+        let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (mut listeners, mut entries) = (Vec::new(), Vec::new());
+        for n in 1..=members {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            entries.push(entry(n, &listener, "in_service"));
+            listeners.push(listener);
+        }
+        let (before, rest) = config.split_once("\"known\"").expect("a saved list");
+        let settings = rest.split_once("\"settings\"").expect("settings").1;
+        let entries = entries.join(",");
+        let config = format!(
+            r#"{before}"known": {{"version": 1, "full": true, "servers": [{entries}]}}, "settings"{settings}"#
+        );
+        let at = discovery.local_addr().expect("an address").to_string();
+        let mut config =
+            config.replace("127.0.0.1:8500", &at).replace("\"mayProbe\": true", "\"mayProbe\": false");
+        // A slow machine must not turn a connection into a failed one, or an answer into a late one.
+        for (old, new) in
+            [("\"slo\": 800000", "\"slo\": 30000000"), ("Timeout\": 250000", "Timeout\": 50000000")]
+        {
+            assert!(config.contains(old), "{old}");
+            config = config.replace(old, new);
+        }
+        for (old, new) in change {
+            assert!(config.contains(old), "{old}");
+            config = config.replace(old, new);
+        }
+        let path = file(&format!("{name}.json"), &config);
+        let program = Rc::new(start(program(&path), path));
+        *seen.borrow_mut() = Some(program.log.clone());
+        let at = program.address("listens on ");
+        test(Rc::new(Stage { at, program, members: listeners, discovery })).await;
+    };
+    let all = async {
+        if timeout(NEVER, all).await.is_err() {
+            let log = seen.borrow().as_ref().map(|log| log.lock().expect("the log").clone());
+            panic!("{name}: a step that never came: {}", log.unwrap_or_default());
+        }
+    };
+    runtime.block_on(tokio::task::LocalSet::new().run_until(all));
+}
+
+fn entry(n: usize, listener: &TcpListener, state: &str) -> String {
+    let at = listener.local_addr().expect("an address");
+    format!(
+        r#"{{"id":"m-{n}","addr":"{at}","zone":"a","kind":"toy","cell":1,"state":"{state}","started_ms":0}}"#
+    )
+}
+
+/// The program's next call for a watch: from which version.
+async fn watched(discovery: &TcpListener) -> (TcpStream, u64) {
+    let (mut call, _) = discovery.accept().await.expect("a call");
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        head.push(char::from(call.read_u8().await.expect("more of the head")));
+    }
+    let from = head.split("&from=").nth(1).and_then(|t| t.split(' ').next()).and_then(|v| v.parse().ok());
+    (call, from.unwrap_or_else(|| panic!("no watch: {head}")))
+}
+
+async fn tell(call: &mut TcpStream, head: &str, line: &str) {
+    let text = format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1);
+    call.write_all(text.as_bytes()).await.expect("written");
+}
+
+fn drains(version: u64, listener: &TcpListener) -> String {
+    let entry = entry(1, listener, "terminating");
+    format!(r#"{{"version":{version},"full":false,"servers":[{entry}]}}"#)
+}
+
+/// The program's next connection to a member, with its startup message read and not answered.
+async fn coming_up(member: &TcpListener) -> TcpStream {
+    let (mut link, _) = member.accept().await.expect("a connection");
+    let length = link.read_u32().await.expect("a length") as usize;
+    link.read_exact(&mut vec![0; length - 4]).await.expect("a startup message");
+    link
+}
+
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind], &(4 + body.len() as u32).to_be_bytes()[..], body].concat()
+}
+
+/// Answers the startup message.
+async fn welcome(link: &mut TcpStream) {
+    link.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat()).await.expect("written");
+}
+
+/// The next statement on a connection; none at its end.
+async fn statement(link: &mut TcpStream) -> Option<String> {
+    let kind = link.read_u8().await.ok()?;
+    let mut body = vec![0; link.read_u32().await.ok()? as usize - 4];
+    link.read_exact(&mut body).await.ok()?;
+    assert_eq!(kind, b'Q');
+    Some(String::from_utf8(body).expect("a text"))
+}
+
+/// An answer of one row, up to ReadyForQuery.
+fn row(value: &str) -> Vec<u8> {
+    let column = [b"\0\x01val\0".as_slice(), &[0; 6], &17u32.to_be_bytes(), &[0xff; 6], &[0, 1]].concat();
+    let data = [b"\0\x01".as_slice(), &(value.len() as u32).to_be_bytes(), value.as_bytes()].concat();
+    [message(b'T', &column), message(b'D', &data), message(b'C', b"SELECT 1\0"), message(b'Z', b"I")].concat()
+}
+
+async fn serves(link: &mut TcpStream, value: &str) {
+    link.write_all(&row(value)).await.expect("written");
+}
+
+/// All that still comes on a connection until it ends.
+async fn rest(mut link: TcpStream) -> String {
+    let mut all = Vec::new();
+    let _ = link.read_to_end(&mut all).await;
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+/// A client that has sent these queries.
+async fn asks(at: SocketAddr, queries: &[&str]) -> TcpStream {
+    client(at, queries).await
+}
+
+fn read(id: &str) -> String {
+    READ.replace("id=a1", &format!("id={id}"))
+}
+
+/// A read that may go to any replica of the site.
+fn any(site: &str, id: &str) -> String {
+    if site == "pushed" { read(id).replace("c=list", "c=any") } else { read(id) }
+}
+
+const NO_CANCEL: (&str, &str) = ("\"cancel\": true", "\"cancel\": false");
+
+/// Both kinds of site. At the second one a replica gets reads of its class `any` before anything is heard of it.
+const SITES: [(&str, &str); 2] = [("asked", CONFIG), ("pushed", PUSHED)];
+
+/// Has the program take nothing new, waits for its end, and gives back what one connection to a member still got.
+async fn end(stage: Rc<Stage>, link: TcpStream) -> String {
+    stage.program.signal("-TERM");
+    let got = rest(link).await;
+    assert!(stage.program.end().await.success());
+    got
+}
+
+// A client leaves while its request's connection comes up. Guards against the request being written once it is up, also
+// where the settings allow no cancelling: nothing is cancelled where nothing was written. The connection is kept.
+#[test]
+fn what_waits_for_its_connection_is_not_sent_once_its_client_has_left() {
+    for (site, config) in SITES {
+        for (name, change) in [("cancel", &[][..]), ("no-cancel", &[NO_CANCEL][..])] {
+            play(&format!("left-{site}-{name}"), config, 1, change, |stage| async move {
+                let first = asks(stage.at, &[&any(site, "a1")]).await;
+                let mut link = coming_up(&stage.members[0]).await;
+                drop(first);
+                stage.program.says("code=client-gone").await;
+                let (mut second, mut other) = (asks(stage.at, &[&any(site, "a9")]).await, None);
+                if name == "cancel" {
+                    link = coming_up(&stage.members[0]).await;
+                } else {
+                    other = Some(coming_up(&stage.members[0]).await);
+                }
+                welcome(&mut link).await;
+                // The request that is left may take either connection; the one that nobody waits for takes none.
+                let got = match &mut other {
+                    None => statement(&mut link).await,
+                    Some(other) => {
+                        welcome(other).await;
+                        tokio::select! {
+                            got = statement(&mut link) => { serves(&mut link, "one").await; got }
+                            got = statement(other) => { serves(other, "two").await; got }
+                        }
+                    }
+                };
+                let got = got.expect("a statement");
+                assert!(got.contains("id=a9"), "{got}");
+                if name == "cancel" {
+                    serves(&mut link, "three").await;
+                }
+                answer(&mut second).await;
+                let later = end(stage, link).await;
+                assert!(!later.contains("id=a1"), "{later}");
+            });
+        }
+    }
+}
+
+// The other order: the statement is written, then the client leaves. Guards against work that goes on where it may be
+// called off, and against a connection that is cut where it may not.
+#[test]
+fn what_was_written_before_its_client_left_is_called_off_only_where_that_is_allowed() {
+    for (allowed, change) in [(true, &[][..]), (false, &[NO_CANCEL][..])] {
+        play(&format!("written-{allowed}"), CONFIG, 1, change, |stage| async move {
+            let first = asks(stage.at, &[&read("a1")]).await;
+            let mut link = coming_up(&stage.members[0]).await;
+            welcome(&mut link).await;
+            assert!(statement(&mut link).await.is_some_and(|s| s.contains("id=a1")));
+            drop(first);
+            stage.program.says("code=client-gone").await;
+            if allowed {
+                assert_eq!(statement(&mut link).await, None, "called off");
+                return;
+            }
+            serves(&mut link, "for nobody").await;
+            let mut second = asks(stage.at, &[&read("a9")]).await;
+            // The connection rests for a moment, and is kept: the next request may come too soon for it.
+            let mut link = tokio::select! {
+                got = statement(&mut link) => {
+                    assert!(got.is_some_and(|s| s.contains("id=a9")));
+                    link
+                }
+                mut new = coming_up(&stage.members[0]) => {
+                    welcome(&mut new).await;
+                    assert!(statement(&mut new).await.is_some_and(|s| s.contains("id=a9")));
+                    new
+                }
+            };
+            serves(&mut link, "mine").await;
+            let got = answer(&mut second).await;
+            assert!(got.contains("mine") && !got.contains("nobody"), "{got}");
+        });
+    }
+}
+
+// Guards against an end that isn't seen since what the client sent before it is not read: behind its request a long
+// message waits for its turn, or its input broke the protocol, or it takes a long answer of which no more comes.
+#[test]
+fn a_client_that_leaves_is_seen_while_nothing_of_it_is_read() {
+    let long = [&[b'Q'][..], &3_000_000u32.to_be_bytes(), &[b'x'; 200_000]].concat();
+    for (name, behind) in [("long", long), ("garbage", b"\xff\xff\xff\xff\xff\xff\xff".to_vec())] {
+        play(&format!("unread-{name}"), CONFIG, 1, &[NO_CANCEL], |stage| async move {
+            let mut first = asks(stage.at, &[&read("a1")]).await;
+            let mut link = coming_up(&stage.members[0]).await;
+            first.write_all(&behind).await.expect("written");
+            drop(first);
+            stage.program.says("code=client-gone").await;
+            welcome(&mut link).await;
+            let later = end(stage, link).await;
+            assert!(!later.contains("id=a1"), "{later}");
+        });
+    }
+    play("unread-passing", CONFIG, 1, &[NO_CANCEL], |stage| async move {
+        let mut first = asks(stage.at, &[&read("a1")]).await;
+        let mut link = coming_up(&stage.members[0]).await;
+        welcome(&mut link).await;
+        assert!(statement(&mut link).await.is_some());
+        first.write_all(&encoded(&[query(&read("a2"))])).await.expect("written");
+        let mut behind = coming_up(&stage.members[0]).await;
+        let long = row(&"v".repeat(300_000));
+        link.write_all(&long[..100_000]).await.expect("written");
+        first.read_exact(&mut [0; 50_000]).await.expect("it has begun");
+        drop(first);
+        stage.program.says("code=client-gone").await;
+        welcome(&mut behind).await;
+        let later = end(stage, behind).await;
+        assert!(!later.contains("id=a2"), "{later}");
+    });
+}
+
+// A drain is told while a connection comes up, in both orders. Guards against a statement that follows the drain, and
+// against an answer that is lost since its member drains.
+#[test]
+fn a_drain_that_is_told_before_the_first_byte_keeps_it_back() {
+    for (site, config) in SITES {
+        for told_first in [true, false] {
+            play(&format!("drain-{site}-{told_first}"), config, 1, &[], |stage| async move {
+                let (mut watch, from) = watched(&stage.discovery).await;
+                assert_eq!(from, 1);
+                let mut c = asks(stage.at, &[&any(site, "a1").replace("d=60000", "d=4000")]).await;
+                let mut link = coming_up(&stage.members[0]).await;
+                if told_first {
+                    tell(&mut watch, HEAD, &drains(2, &stage.members[0])).await;
+                    stage.program.says("list version 2").await;
+                    welcome(&mut link).await;
+                    assert_eq!(rest(link).await, "", "nothing follows the drain");
+                    assert!(answer(&mut c).await.contains("C53300"));
+                } else {
+                    welcome(&mut link).await;
+                    assert!(statement(&mut link).await.is_some_and(|s| s.contains("id=a1")));
+                    tell(&mut watch, HEAD, &drains(2, &stage.members[0])).await;
+                    stage.program.says("list version 2").await;
+                    serves(&mut link, "whole").await;
+                    assert!(answer(&mut c).await.contains("whole"));
+                }
+            });
+        }
+    }
+}
+
+// Guards against news that is lost with the watch that brought it: a line that can't be read, one that is cut, a watch
+// that ends, one that is reset, one that never says a word (at an agent, where that shows soonest). What comes next tells
+// of the drain.
+#[test]
+fn what_a_watch_did_not_tell_the_next_one_does() {
+    for (site, config) in SITES {
+        for how in ["unreadable", "cut", "ended", "reset", "silent"] {
+            if how == "silent" && site == "asked" {
+                continue;
+            }
+            play(&format!("watch-{site}-{how}"), config, 1, &[], |stage| async move {
+                let (mut watch, from) = watched(&stage.discovery).await;
+                assert_eq!(from, 1);
+                match how {
+                    "unreadable" => {
+                        tell(&mut watch, HEAD, r#"{"version":2,"full":false,"servers":[{"id":7}]}"#).await
+                    }
+                    "cut" => {
+                        tell(&mut watch, HEAD, "{\"version\":2,\"full\":false,\"servers\":[{\"id\":\"m").await
+                    }
+                    "ended" => watch.write_all(format!("{HEAD}0\r\n\r\n").as_bytes()).await.expect("written"),
+                    "reset" => {
+                        watch.set_zero_linger().expect("set");
+                        drop(watch);
+                    }
+                    _ => {}
+                }
+                let (mut next, from) = watched(&stage.discovery).await;
+                assert_eq!(from, 1, "nothing counts as heard");
+                tell(&mut next, HEAD, &drains(2, &stage.members[0])).await;
+                stage.program.says("list version 2").await;
+                let mut c = asks(stage.at, &[&any(site, "a1").replace("d=60000", "d=500")]).await;
+                assert!(answer(&mut c).await.contains("C53300"), "the only member drains");
+            });
+        }
+    }
+}
+
+// An idle connection. Guards against an attempt spent on one that the member has closed, and against late bytes of an
+// answer that reach the next request.
+#[test]
+fn an_idle_connection_that_closed_or_spoke_is_not_used() {
+    for how in ["closed", "reset", "spoke"] {
+        play(&format!("idle-{how}"), CONFIG, 1, &[], |stage| async move {
+            let mut c = asks(stage.at, &[&read("a1")]).await;
+            let mut link = coming_up(&stage.members[0]).await;
+            welcome(&mut link).await;
+            assert!(statement(&mut link).await.is_some());
+            serves(&mut link, "first").await;
+            assert!(answer(&mut c).await.contains("first"));
+            match how {
+                "closed" => link.shutdown().await.expect("closed"),
+                "reset" => link.set_zero_linger().expect("set"),
+                _ => link.write_all(&row("late")).await.expect("written"),
+            }
+            let kept = (how != "reset").then_some(link);
+            c.write_all(&encoded(&[query(&read("a2"))])).await.expect("written");
+            let mut new = coming_up(&stage.members[0]).await;
+            welcome(&mut new).await;
+            assert!(statement(&mut new).await.is_some_and(|s| s.contains("id=a2")));
+            serves(&mut new, "second").await;
+            let got = answer(&mut c).await;
+            assert!(got.contains("second") && !got.contains("late"), "{got}");
+            if let Some(link) = kept {
+                assert_eq!(rest(link).await, "", "it got nothing more");
+            }
+        });
+    }
+}
+
+// A break at the instant that a statement is written, or amid its answer: it may have run. Guards against a read that is
+// lost with its connection, a second attempt beside the first, and a write that is sent again where that is not allowed.
+#[test]
+fn after_a_break_a_read_is_sent_again_and_an_unsafe_write_is_not() {
+    for torn in [false, true] {
+        play(&format!("break-read-{torn}"), CONFIG, 2, &[], |stage| async move {
+            let mut c = asks(stage.at, &[&read("a1")]).await;
+            let (mut link, other) = tokio::select! {
+                link = coming_up(&stage.members[0]) => (link, 1),
+                link = coming_up(&stage.members[1]) => (link, 0),
+            };
+            welcome(&mut link).await;
+            assert!(statement(&mut link).await.is_some());
+            if torn {
+                let answer = row("torn");
+                link.write_all(&answer[..answer.len() - 6]).await.expect("written");
+            }
+            link.set_zero_linger().expect("set");
+            drop(link);
+            let mut next = coming_up(&stage.members[other]).await;
+            welcome(&mut next).await;
+            assert!(statement(&mut next).await.is_some_and(|s| s.contains("id=a1")));
+            serves(&mut next, "again").await;
+            let got = answer(&mut c).await;
+            assert!(got.contains("again") && !got.contains("torn"), "{got}");
+        });
+    }
+    play(
+        "break-write",
+        PUSHED,
+        1,
+        &[("\"showsRole\": \"trailing\"", "\"showsRole\": \"off\"")],
+        |stage| async move {
+            let mut c = asks(stage.at, &[WRITE]).await;
+            let mut link = coming_up(&stage.members[0]).await;
+            welcome(&mut link).await;
+            assert!(statement(&mut link).await.is_some());
+            drop(link);
+            let got = answer(&mut c).await;
+            assert!(got.contains("C08007"), "{got}");
+            stage.program.signal("-TERM");
+            assert!(stage.program.end().await.success());
+            let more = stage.members[0].accept();
+            assert!(timeout(Duration::ZERO, more).await.is_err(), "nothing more was sent");
+        },
+    );
+}
+
+// SIGTERM while a query is half read, others are in flight on the same connection, and a second SIGTERM and a SIGHUP
+// come. Guards against anything that was taken and not answered, in its order, before the end.
+#[test]
+fn what_sigterm_meets_half_way_is_answered_before_the_end() {
+    for (site, config) in SITES {
+        play(&format!("term-{site}"), config, 1, &[], |stage| async move {
+            let mut pipelined = asks(stage.at, &[&any(site, "a1"), &any(site, "a2")]).await;
+            let mut links = [coming_up(&stage.members[0]).await, coming_up(&stage.members[0]).await];
+            for link in &mut links {
+                welcome(link).await;
+                assert!(statement(link).await.is_some());
+            }
+            let mut half = asks(stage.at, &[]).await;
+            let third = encoded(&[query(&any(site, "a3"))]);
+            half.write_all(&third[..20]).await.expect("written");
+            stage.program.signal("-TERM");
+            stage.program.says("stopping, ").await;
+            half.write_all(&third[20..]).await.expect("written");
+            stage.program.signal("-TERM");
+            stage.program.signal("-HUP");
+            let got = answer(&mut half);
+            let [mut first, mut second] = links;
+            // Its statement comes on a new connection, or it was refused for want of time: on a slow machine.
+            let served = async {
+                let mut link = coming_up(&stage.members[0]).await;
+                welcome(&mut link).await;
+                statement(&mut link).await.expect("a statement");
+                serves(&mut link, "three").await;
+                std::future::pending::<()>().await;
+            };
+            let got = tokio::select! { got = got => got, () = served => unreachable!() };
+            assert!(got.contains("three") || got.contains("C53300"), "{got}");
+            serves(&mut second, "later").await;
+            serves(&mut first, "sooner").await;
+            let both = [answer(&mut pipelined).await, answer(&mut pipelined).await];
+            assert!(
+                both.iter().any(|a| a.contains("sooner")) && both.iter().any(|a| a.contains("later")),
+                "{both:?}"
+            );
+            assert_eq!(answer(&mut pipelined).await, "", "then it is closed");
+            assert!(stage.program.end().await.success());
+        });
+    }
+}
+
+// SIGTERM while an attempt hangs: it ends by its deadline, with a final answer, and so does the program.
+#[test]
+fn a_request_that_hangs_through_a_stop_gets_its_answer_by_its_deadline() {
+    play("term-hang", CONFIG, 1, &[], |stage| async move {
+        let mut c = asks(stage.at, &[&read("a1").replace("d=60000", "d=4000")]).await;
+        let mut link = coming_up(&stage.members[0]).await;
+        welcome(&mut link).await;
+        assert!(statement(&mut link).await.is_some());
+        stage.program.signal("-TERM");
+        let got = answer(&mut c).await;
+        assert!(got.contains("C53300") || got.contains("C08007"), "{got}");
+        assert!(stage.program.end().await.success());
+    });
+}
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -486,8 +486,13 @@
             pool.locate(m, listener.local_addr().expect("an address"));
             pool.admit(|_| true);
             let payload = Payload::cut(&Bytes::from_static(b"/* d=9 */ SELECT 1"), 5..6);
-            let errand =
-                Errand { member: m, payload, until: tokio::time::Instant::now() + long, repeat: false };
+            let errand = Errand {
+                member: m,
+                payload,
+                until: tokio::time::Instant::now() + long,
+                repeat: false,
+                over: Rc::default(),
+            };
             let (_call_off, called_off) = tokio::sync::oneshot::channel();
             let run = tokio::task::spawn_local(attempt::run(pool.clone(), errand, called_off, || ()));
             let (mut far, _) = listener.accept().await.expect("a connection");
