--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -28,6 +28,8 @@
     Missing(String),
     /// A field holds something else than it should.
     Wrong(String),
+    /// A field holds what can't be served, and what was expected.
+    Unserved(String, &'static str),
 }
 
 impl fmt::Display for FormError {
@@ -36,6 +38,9 @@
             FormError::NotJson => write!(f, "the text is not JSON"),
             FormError::Missing(field) => write!(f, "field '{field}' is missing"),
             FormError::Wrong(field) => write!(f, "field '{field}' has a wrong value"),
+            FormError::Unserved(field, expected) => {
+                write!(f, "field '{field}' has a wrong value: expected {expected}")
+            }
         }
     }
 }
@@ -277,7 +282,7 @@
 impl Profile {
     /// Checks every field and numbers the zones by `zones`.
     pub fn site(self, zones: &mut Names) -> Result<Site, FormError> {
-        let wrong = |field: &str| FormError::Wrong(field.to_string());
+        let unserved = |field: &str, expected| FormError::Unserved(field.to_string(), expected);
         let specifics = need("specifics", self.specifics)?;
         let levels = need("specifics.readLevel", specifics.read_level)?;
         let bounds = specifics.class_bound.unwrap_or_default();
@@ -294,7 +299,10 @@
                     ReadLevel::Bounded(span("specifics.classBound", Some(bound))?)
                 }
                 "eventual" => ReadLevel::Any,
-                _ => return Err(wrong("specifics.readLevel")),
+                _ => {
+                    let expected = "mutate, strong, causal, lag_bound or eventual";
+                    return Err(unserved("specifics.readLevel", expected));
+                }
             };
             let scope = match c.group.as_deref() {
                 Some("all") => RepeatScope::All,
@@ -304,13 +312,18 @@
                 "read_like" => Effect::Safe,
                 "idempotency_key" => Effect::Keyed { scope, window: span(&at("window"), c.window)? },
                 "non_idempotent" => Effect::Unsafe,
-                _ => return Err(wrong(&at("semantics"))),
+                _ => {
+                    let expected = "read_like, idempotency_key or non_idempotent";
+                    return Err(unserved(&at("semantics"), expected));
+                }
             };
             let aim = span(&at("slo"), Some(need(&at("slo"), c.slo)?))?;
             let worth = need(&at("points"), c.points)?;
             let give_up = span(&at("giveUp"), c.give_up)?;
             longest = longest.max(give_up);
-            names.insert(need(&at("name"), c.name)?, ClassId(i));
+            if names.insert(need(&at("name"), c.name)?, ClassId(i)).is_some() {
+                return Err(unserved(&at("name"), "a name that no class before it has"));
+            }
             classes.push(Class {
                 aim,
                 give_up,
@@ -332,7 +345,7 @@
         let settings = Settings {
             tick: span("tick", self.tick)?,
             fleet_size: match need("fleetSize", self.fleet_size)? {
-                0 => return Err(wrong("fleetSize")),
+                0 => return Err(unserved("fleetSize", "1 or more")),
                 proxies => proxies,
             },
             me: self.me,
@@ -350,15 +363,25 @@
             discovery: match need("discovery", self.discovery)?.as_str() {
                 "pushed" => Discovery::Pushed,
                 "on_request" => Discovery::OnRequest,
-                _ => return Err(wrong("discovery")),
+                _ => return Err(unserved("discovery", "pushed or on_request")),
             },
             limits: Limits {
                 cancel: limits.cancel.unwrap_or(false),
                 probe: limits.may_probe.unwrap_or(false),
                 peers: limits.peers.unwrap_or(false),
                 second_copies: limits.second_copies.unwrap_or(false),
-                max_attempts: need("limits.maxAttempts", limits.max_attempts)?,
-                connect_timeout: span("limits.connectTimeout", limits.connect_timeout)?,
+                // With none nothing would ever be sent, and without time no connection would come up.
+                max_attempts: match need("limits.maxAttempts", limits.max_attempts)? {
+                    0 => return Err(unserved("limits.maxAttempts", "1 or more")),
+                    most => most,
+                },
+                connect_timeout: match limits.connect_timeout {
+                    Some(us) if us.is_finite() && us >= 1.0 => Span(us as u64),
+                    given => {
+                        need("limits.connectTimeout", given)?;
+                        return Err(unserved("limits.connectTimeout", "microseconds, 1 or more"));
+                    }
+                },
                 idle_close: span("limits.idleClose", limits.idle_close)?,
                 retry_after: limits.retry_after.unwrap_or(false),
                 max_retry_after: span("limits.maxRetryAfter", limits.max_retry_after)?,
@@ -387,17 +410,17 @@
                 "off" => ReplicaCheck::None,
                 "bounce" => ReplicaCheck::Refuse,
                 "await" => ReplicaCheck::Wait(span("specifics.wait", specifics.wait)?),
-                _ => return Err(wrong("specifics.serverChecks")),
+                _ => return Err(unserved("specifics.serverChecks", "off, bounce or await")),
             },
             tokens: match need("specifics.writeMarks", specifics.write_marks)?.as_str() {
                 "brought" => Tokens::Carried,
                 "kept" => Tokens::Remembered,
-                _ => return Err(wrong("specifics.writeMarks")),
+                _ => return Err(unserved("specifics.writeMarks", "brought or kept")),
             },
             list_names_primary: match need("specifics.showsRole", specifics.shows_role)?.as_str() {
                 "off" => false,
                 "trailing" | "static" => true,
-                _ => return Err(wrong("specifics.showsRole")),
+                _ => return Err(unserved("specifics.showsRole", "off, trailing or static")),
             },
         };
         let zero = span("specifics.countedFrom", specifics.counted_from)?.0;
--- a/src/config.rs
+++ b/src/config.rs
@@ -170,6 +170,9 @@
                     FormError::NotJson => FormError::NotJson,
                     FormError::Missing(field) => FormError::Missing(format!("{part}.{field}")),
                     FormError::Wrong(field) => FormError::Wrong(format!("{part}.{field}")),
+                    FormError::Unserved(field, expected) => {
+                        FormError::Unserved(format!("{part}.{field}"), expected)
+                    }
                 })
             }
         };
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -340,18 +340,27 @@
                         tell(&mut watch, HEAD, "{\"version\":2,\"full\":false,\"servers\":[{\"id\":\"m").await
                     }
                     "ended" => watch.write_all(format!("{HEAD}0\r\n\r\n").as_bytes()).await.expect("written"),
-                    "reset" => {
-                        watch.set_zero_linger().expect("set");
-                        drop(watch);
-                    }
+                    "reset" => watch.set_zero_linger().expect("set"),
                     _ => {}
                 }
+                let mut kept = None;
+                match how {
+                    "reset" => drop(watch),
+                    "ended" | "silent" => kept = Some(watch),
+                    // It speaks on, so that nothing else ends it.
+                    _ => drop(tokio::task::spawn_local(async move {
+                        while watch.write_all(b"1\r\n\n\r\n").await.is_ok() {
+                            tokio::time::sleep(Duration::from_millis(500)).await;
+                        }
+                    })),
+                }
                 let (mut next, from) = watched(&stage.discovery).await;
                 assert_eq!(from, 1, "nothing counts as heard");
                 tell(&mut next, HEAD, &drains(2, &stage.members[0])).await;
                 stage.program.says("list version 2").await;
                 let mut c = asks(stage.at, &[&any(site, "a1").replace("d=60000", "d=500")]).await;
                 assert!(answer(&mut c).await.contains("C53300"), "the only member drains");
+                drop(kept);
             });
         }
     }
--- a/tests/pushed.rs
+++ b/tests/pushed.rs
@@ -41,6 +41,10 @@
         ("\"trailing\"", "\"sometimes\"", "settings.specifics.showsRole"),
         ("\"recovery\": \"off\"", "\"recovery\": \"maybe\"", "known.servers[0].recovery"),
         ("\"zone\": \"a\", \"zones\"", "\"zones\"", "settings.zone"),
+        ("\"maxAttempts\": 10", "\"maxAttempts\": 0", "settings.limits.maxAttempts"),
+        ("\"connectTimeout\": 250000, ", "", "settings.limits.connectTimeout"),
+        ("\"connectTimeout\": 250000", "\"connectTimeout\": 0", "settings.limits.connectTimeout"),
+        ("\"name\": \"any\"", "\"name\": \"list\"", "settings.classes[2].name"),
     ] {
         let text = PUSHED.replacen(right, wrong, 1);
         assert_ne!(text, PUSHED, "{right}");
