--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -370,18 +370,12 @@
                 probe: limits.may_probe.unwrap_or(false),
                 peers: limits.peers.unwrap_or(false),
                 second_copies: limits.second_copies.unwrap_or(false),
-                // With none nothing would ever be sent, and without time no connection would come up.
+                // With none nothing would ever be sent.
                 max_attempts: match need("limits.maxAttempts", limits.max_attempts)? {
                     0 => return Err(unserved("limits.maxAttempts", "1 or more")),
                     most => most,
                 },
-                connect_timeout: match limits.connect_timeout {
-                    Some(us) if us.is_finite() && us >= 1.0 => Span(us as u64),
-                    given => {
-                        need("limits.connectTimeout", given)?;
-                        return Err(unserved("limits.connectTimeout", "microseconds, 1 or more"));
-                    }
-                },
+                connect_timeout: span("limits.connectTimeout", limits.connect_timeout)?,
                 idle_close: span("limits.idleClose", limits.idle_close)?,
                 retry_after: limits.retry_after.unwrap_or(false),
                 max_retry_after: span("limits.maxRetryAfter", limits.max_retry_after)?,
--- a/src/config.rs
+++ b/src/config.rs
@@ -180,6 +180,11 @@
         let mut names = Names::default();
         let profile = need("settings", doc.settings).map_err(form)?;
         let site = profile.site(&mut names.zones).map_err(inside("settings"))?;
+        // Without time no connection would come up; the adapter has none to open.
+        if site.settings.limits.connect_timeout.0 == 0 {
+            let field = "settings.limits.connectTimeout".to_string();
+            return Err(form(FormError::Unserved(field, "microseconds, 1 or more")));
+        }
         let limits = doc.limits.unwrap_or(LimitsDoc { memory_mb: None, sockets: None });
         let size = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
         let sockets = size(limits.sockets.unwrap_or(SOCKETS));
