A request half read when its connection has to make room is waited for a moment

Seen by reading: the door asks the connection idle longest to leave, and session::next ended it at once with MadeRoom even when the first bytes of a query were read already. The stop beside it waits for what has begun; this branch did not look. Ruled out: a query wholly there (it is polled first). At fault: the told_to_leave branch of session::next. Now a begun message of a client that has started is waited for 0.25 s; before the startup message the place is given back at once, as before. Test who_is_told_to_leave_amid_a_message_is_waited_for_a_moment; without the fix it fails with 'written: Kind(BrokenPipe)' at the second half of the query.

--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -38,6 +38,8 @@
 /// Accepted amid a drain or a stop, a client is waited for so long: it connects in order to ask. The last are accepted
 /// 0.45 s after a stop began, and what comes over 0.7 s after it may not be answered in time (the platform's figure).
 const NEWCOMER_WITHIN: Duration = Duration::from_millis(250);
+/// Told to leave while a message comes in, a client is waited for so long: what is cut off half way is lost to it.
+const REST_WITHIN: Duration = Duration::from_millis(250);
 /// A message that has begun is there whole by then; a client may spend 2 s on a head, and is looked at in steps.
 const MESSAGE_WITHIN: Duration = Duration::from_millis(3_500);
 /// How often a message that has begun is looked at.
@@ -147,6 +149,9 @@
     /// When it was accepted, and whether it has asked anything since.
     since: Instant,
     heard: bool,
+    /// Its startup message was answered, and it was told to make room since.
+    started: bool,
+    told: bool,
 }
 
 /// Serves a connection to its end, and says why it ended.
@@ -155,7 +160,7 @@
 ) -> CloseReason {
     let framed = Framed::new(stream, FrontendCodec::new(desk.memory()));
     let (waiting, next, broken) = (VecDeque::new(), Order::default(), None);
-    let (since, heard) = (Instant::now(), false);
+    let (since, heard, started, told) = (Instant::now(), false, false, false);
     let (skipping, malformed, announced) = (false, 0, None);
     let mut s = Session {
         framed,
@@ -169,6 +174,8 @@
         malformed,
         since,
         heard,
+        started,
+        told,
         view: view.clone(),
     };
     let reason = match s.serve(&mut view).await {
@@ -342,6 +349,7 @@
                 Some(Frontend::Encryption) => self.reply([Wire::NoEncryption]).await?,
                 Some(Frontend::Cancel) => return Err(CloseReason::CancelRequest),
                 Some(_) => {
+                    self.started = true;
                     self.seated.started();
                     return self.reply([Wire::Welcome, Wire::Ready]).await;
                 }
@@ -358,13 +366,21 @@
         if let Some(length) = self.announced.take() {
             self.reserve(length).await?;
         }
-        let (mut begun, mut there, mut looks) = (None, 0, 0);
+        let (mut begun, mut there, mut looks, mut rest_by) = (None, 0, 0, None);
         let heard_by = if self.heard { Instant::now() } else { self.since + NEWCOMER_WITHIN };
         loop {
             let ends = async {
                 let _ = view.wait_for(|v| v.closes).await;
                 sleep_until(heard_by).await;
             };
+            let (comes, told) = (!self.framed.read_buffer().is_empty(), self.told);
+            let leaves = async {
+                match rest_by.filter(|_| comes) {
+                    Some(by) => sleep_until(by).await,
+                    None if told => {}
+                    None => self.seated.told_to_leave().await,
+                }
+            };
             tokio::select! {
                 biased;
                 next = self.framed.next() => return match next {
@@ -383,7 +399,15 @@
                         return Err(CloseReason::Stopping);
                     }
                 }
-                () = self.seated.told_to_leave() => return Err(CloseReason::MadeRoom),
+                () = leaves => {
+                    self.told = true;
+                    let by = *rest_by.get_or_insert_with(|| Instant::now() + REST_WITHIN);
+                    // A request whose first bytes are read is cut off only if the rest doesn't come soon.
+                    if !self.started || self.framed.read_buffer().is_empty() || Instant::now() >= by {
+                        return Err(CloseReason::MadeRoom);
+                    }
+                    continue;
+                }
                 () = sleep(LOOK_EVERY) => {}
             }
             // A long message takes its time, but goes on.
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -391,6 +391,38 @@
     assert_eq!(reason, CloseReason::MadeRoom);
 }
 
+// Guards against a request that is cut off since its connection has to make room when only its first bytes are read, and
+// against a place that is held by a message without an end.
+#[tokio::test(start_paused = true)]
+async fn who_is_told_to_leave_amid_a_message_is_waited_for_a_moment() {
+    for (ends, spoken) in [(true, true), (false, true), (false, false)] {
+        let doorway = doorway(1);
+        let (desk, mut events) = desk();
+        let (mut near, session, _tell) = before(&desk, doorway.enter().expect("a place"));
+        let client = async {
+            let whole = if spoken { [STARTUP, &query("1", "list")].concat() } else { STARTUP.to_vec() };
+            let cut = if spoken { STARTUP.len() + 9 } else { 3 };
+            near.write_all(&whole[..cut]).await.expect("written");
+            sleep(Duration::from_secs(1)).await;
+            let _next = doorway.enter().expect("the place of the one that asks nothing");
+            if ends {
+                sleep(Duration::from_millis(100)).await;
+                near.write_all(&whole[cut..]).await.expect("written");
+                let Some(Input::Taken(taken)) = events.recv().await else { panic!("nothing was taken") };
+                taken.reply.send(Answer::Served(b"the row".as_slice().into())).expect("still owed");
+            }
+            let told = tokio::time::Instant::now();
+            let mut got = Vec::new();
+            near.read_to_end(&mut got).await.expect("read");
+            let got = String::from_utf8_lossy(&got).into_owned();
+            assert_eq!(got.contains("the row"), ends, "{got:?}");
+            assert!(told.elapsed() < Duration::from_millis(if spoken { 300 } else { 10 }));
+        };
+        let (reason, ()) = tokio::join!(session, client);
+        assert_eq!(reason, CloseReason::MadeRoom);
+    }
+}
+
 // Guards against a drain that turns a newcomer's first request back unheard, that keeps a connection after it, or that
 // says yes to the front.
 #[tokio::test(start_paused = true)]
