A reload or stop that comes while the program starts is heeded, and ends nothing

Seen by reading: signals were received only after the configuration, the operator's file and the fleet were read; until then SIGHUP ends the process (status 129) and SIGTERM counts as its own end. Ruled out: signals after 'listens on' (tests/proxy.rs, a_reload_moves_discovery_and_keeps_the_rest). At fault: the order in main.rs, start and serve. Signals are received first now. Test a_signal_amid_the_start_is_heeded_once_it_has_started holds the program at its configuration (a pipe) and signals it there; without the fix it fails with 'the program has ended'.

--- a/src/main.rs
+++ b/src/main.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -65,10 +65,36 @@
     runtime.map_err(|e| format!("the runtime does not start: {e}"))
 }
 
+/// The signals that the program lives by.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    print: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Receives them from now on.
+    fn receive() -> Result<Signals, String> {
+        use SignalKind as Kind;
+        let signals = [Kind::terminate(), Kind::interrupt(), Kind::user_defined1(), Kind::hangup()];
+        match signals.map(signal) {
+            [Ok(terminate), Ok(interrupt), Ok(print), Ok(hangup)] => {
+                Ok(Signals { terminate, interrupt, print, hangup })
+            }
+            _ => Err("signals can't be received".into()),
+        }
+    }
+}
+
 fn start(operator: Option<PathBuf>) -> Result<(), String> {
-    let config = Config::from_environment(Reading::Start).map_err(|e| e.to_string())?;
-    let operator = operator.map(|path| tools::read(&path)).transpose()?;
-    runtime()?.block_on(serve(config, operator))
+    runtime()?.block_on(async {
+        // First of all: a reload that comes while the configuration is read must neither end the process nor get lost.
+        let signals = Signals::receive()?;
+        let config = Config::from_environment(Reading::Start).map_err(|e| e.to_string())?;
+        let operator = operator.map(|path| tools::read(&path)).transpose()?;
+        serve(config, operator, signals).await
+    })
 }
 
 /// Keeps what a fleet agrees on, until told to stop or the disk fails.
@@ -104,7 +130,7 @@
     Ok(())
 }
 
-async fn serve(config: Config, operator: Option<Operator>) -> Result<(), String> {
+async fn serve(config: Config, operator: Option<Operator>, signals: Signals) -> Result<(), String> {
     plant()?;
     let together = match operator {
         None => None,
@@ -125,11 +151,7 @@
         }
     };
     let counters = Rc::new(Counters::default());
-    use SignalKind as Kind;
-    let signals = [Kind::terminate(), Kind::interrupt(), Kind::user_defined1(), Kind::hangup()];
-    let [Ok(mut terminate), Ok(mut interrupt), Ok(mut print), Ok(mut hangup)] = signals.map(signal) else {
-        return Err("signals can't be received".into());
-    };
+    let Signals { mut terminate, mut interrupt, mut print, mut hangup } = signals;
     let listen = config.listen;
     let listener = match config.inherited {
         Some(fd) => inherit::listener(fd).map_err(|e| format!("LB_INHERITED_FD: {e}"))?,
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -5,11 +5,14 @@
 mod harness;
 
 use harness::{
-    CONFIG, HEAD, Program, READ, WRITE, answer, client, encoded, file, program, query, start, tell, watched,
+    CONFIG, HEAD, Program, READ, WRITE, answer, client, encoded, file, listening, program, query, start,
+    tell, watched,
 };
 use std::cell::RefCell;
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -492,3 +495,32 @@
         assert!(stage.program.end().await.success());
     });
 }
+
+// A signal that comes while the program starts, held at reading its configuration. Guards against a reload that ends the
+// process or is lost, and against a stop that is taken for a crash.
+#[test]
+fn a_signal_amid_the_start_is_heeded_once_it_has_started() {
+    for (signal, said) in [("-HUP", "reload: discovery is at 127.0.0.1:9"), ("-TERM", "stopping, ")] {
+        let path = file(&format!("start{signal}.json"), "");
+        std::fs::remove_file(&path).expect("removed");
+        assert!(Command::new("mkfifo").arg(&path).status().is_ok_and(|s| s.success()));
+        let child = program(&path).spawn().expect("the program");
+        // Opened for writing once the program has opened it for reading.
+        let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).expect("the pipe");
+        let sent = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        assert!(sent.is_ok_and(|s| s.success()));
+        // What is read again by then names another discovery.
+        let next = file(&format!("next{signal}.json"), &CONFIG.replace("127.0.0.1:8500", "127.0.0.1:9"));
+        std::fs::rename(next, &path).expect("renamed");
+        pipe.write_all(CONFIG.as_bytes()).expect("written");
+        drop(pipe);
+        let program = listening(child, path);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            timeout(NEVER, program.says(said)).await.expect("said");
+            if signal == "-TERM" {
+                assert!(timeout(NEVER, program.end()).await.expect("an end").success());
+            }
+        });
+    }
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -129,7 +129,11 @@
 
 /// Starts the program and reads its log, up to the line that says where it listens.
 pub fn start(mut command: Command, config: std::path::PathBuf) -> Program {
-    let mut child = command.spawn().expect("the program");
+    listening(command.spawn().expect("the program"), config)
+}
+
+/// The same with a process that was started.
+pub fn listening(mut child: Child, config: std::path::PathBuf) -> Program {
     let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
     let said = Arc::new(Mutex::new(String::new()));
     let program = Program { child: RefCell::new(child), config, log: said.clone() };
