Crossings forced with the program held: backlog, last byte, time-out, stop, hand-over

Need: the pairs that were only read so far. The program is stopped with SIGSTOP, or held at its configuration, until both events are there: a client in the listener's backlog that has left and one that stays amid a stop; a break one byte before, at and after the end of an answer; an answer and the time-out in one turn; an answer of 4 MB half written when the stop comes; a repeat that is due then; clients between two versions on one inherited socket. Nothing was at fault there: these tests passed on the program as it was.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -5,14 +5,16 @@
 mod harness;
 
 use harness::{
-    CONFIG, HEAD, Program, READ, WRITE, answer, client, encoded, file, listening, program, query, start,
-    tell, watched,
+    CONFIG, HEAD, Program, READ, WRITE, answer, client, encoded, file, inheriting, listening, program, query,
+    start, tell, watched,
 };
+use linenhill::pg::backend::Command as Sent;
 use std::cell::RefCell;
 use std::future::Future;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::process::Command;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -205,6 +207,52 @@
     }
 }
 
+// A client that asks and leaves while the program doesn't run: it finds the connection in the listener's backlog with the
+// request, and the end behind it, in one turn. Guards against a request that is sent on for it, and against a stop that
+// drops what the machine had accepted for it by then.
+#[test]
+fn what_is_found_in_the_backlog_is_answered_unless_its_client_has_left() {
+    for (site, config) in SITES {
+        for reset in [false, true] {
+            play(&format!("backlog-{site}-{reset}"), config, 1, &[NO_CANCEL], |stage| async move {
+                stage.program.signal("-STOP");
+                let mut gone = TcpStream::connect(stage.at).await.expect("a connection");
+                let ask = |id: &str| encoded(&[Sent::Startup, query(&any(site, id))]);
+                gone.write_all(&ask("a1")).await.expect("written");
+                if reset {
+                    gone.set_zero_linger().expect("set");
+                }
+                drop(gone);
+                let mut stays = TcpStream::connect(stage.at).await.expect("a connection");
+                stays.write_all(&ask("a2")).await.expect("written");
+                stage.program.signal("-TERM");
+                stage.program.signal("-CONT");
+                // Each connection that comes up is welcomed, and what is asked on it is served.
+                let seen = Rc::new(RefCell::new(Vec::new()));
+                let (heard, played) = (seen.clone(), stage.clone());
+                tokio::task::spawn_local(async move {
+                    loop {
+                        let (mut link, heard) = (coming_up(&played.members[0]).await, heard.clone());
+                        tokio::task::spawn_local(async move {
+                            welcome(&mut link).await;
+                            while let Some(statement) = statement(&mut link).await {
+                                heard.borrow_mut().push(statement);
+                                serves(&mut link, "mine").await;
+                            }
+                        });
+                    }
+                });
+                answer(&mut stays).await;
+                assert!(answer(&mut stays).await.contains("mine"));
+                assert_eq!(answer(&mut stays).await, "", "then it is closed");
+                assert!(stage.program.end().await.success());
+                let seen = seen.borrow();
+                assert!(seen.len() == 1 && seen[0].contains("id=a2"), "{seen:?}");
+            });
+        }
+    }
+}
+
 // The other order: the statement is written, then the client leaves. Guards against work that goes on where it may be
 // called off, and against a connection that is cut where it may not.
 #[test]
@@ -481,6 +529,136 @@
     }
 }
 
+// A break at each place around the last byte of an answer, the program held until it is there: before the last byte
+// the answer isn't whole, after it it is. Guards against half an answer that is passed on, and against a second attempt
+// for a whole one.
+#[test]
+fn a_break_around_the_last_byte_of_an_answer_makes_one_answer() {
+    let whole = row("whole").len();
+    for (there, reset) in
+        [(whole - 7, true), (whole - 6, true), (whole - 1, false), (whole - 1, true), (whole, false)]
+    {
+        play(&format!("last-{there}-{reset}"), CONFIG, 2, &[], |stage| async move {
+            let mut c = asks(stage.at, &[&read("a1")]).await;
+            let (mut link, other) = tokio::select! {
+                link = coming_up(&stage.members[0]) => (link, 1),
+                link = coming_up(&stage.members[1]) => (link, 0),
+            };
+            welcome(&mut link).await;
+            assert!(statement(&mut link).await.is_some());
+            stage.program.signal("-STOP");
+            link.write_all(&row("whole")[..there]).await.expect("written");
+            if reset {
+                link.set_zero_linger().expect("set");
+            }
+            drop(link);
+            stage.program.signal("-CONT");
+            if there < whole {
+                let mut next = coming_up(&stage.members[other]).await;
+                welcome(&mut next).await;
+                assert!(statement(&mut next).await.is_some_and(|s| s.contains("id=a1")));
+                serves(&mut next, "again").await;
+            }
+            let got = answer(&mut c).await;
+            assert!(got.contains(if there < whole { "again" } else { "whole" }), "{got}");
+            assert_eq!(got.matches("SELECT 1").count(), 1, "{got}");
+            stage.program.signal("-TERM");
+            assert!(stage.program.end().await.success());
+            for member in &stage.members {
+                let more = timeout(Duration::ZERO, member.accept()).await;
+                assert!(more.is_err(), "nothing more was sent");
+            }
+        });
+    }
+}
+
+// The answer and the time-out are there in one turn: the program is held until the request's time is over and its answer
+// has come. Guards against two final answers, or none, and against a late answer that reaches the next request.
+#[test]
+fn an_answer_and_a_time_out_in_one_turn_make_one_answer() {
+    for (site, config) in SITES {
+        play(&format!("late-{site}"), config, 1, &[], |stage| async move {
+            let mut c = asks(stage.at, &[&any(site, "a1").replace("d=60000", "d=3000")]).await;
+            let mut link = coming_up(&stage.members[0]).await;
+            welcome(&mut link).await;
+            assert!(statement(&mut link).await.is_some());
+            stage.program.signal("-STOP");
+            // Its time is over once this has passed, on any machine.
+            tokio::time::sleep(Duration::from_millis(3_100)).await;
+            serves(&mut link, "first").await;
+            stage.program.signal("-CONT");
+            let got = answer(&mut c).await;
+            let one = ["first", "C53300", "C08007"].iter().filter(|end| got.contains(**end)).count();
+            assert_eq!(one, 1, "{got}");
+            c.write_all(&encoded(&[query(&any(site, "a2"))])).await.expect("written");
+            // A connection whose answer came too late is not used again.
+            let mut next = tokio::select! {
+                Some(got) = statement(&mut link) => {
+                    assert!(got.contains("id=a2"), "{got}");
+                    link
+                }
+                mut next = coming_up(&stage.members[0]) => {
+                    welcome(&mut next).await;
+                    assert!(statement(&mut next).await.is_some_and(|s| s.contains("id=a2")));
+                    next
+                }
+            };
+            serves(&mut next, "second").await;
+            let got = answer(&mut c).await;
+            assert!(got.contains("second") && !got.contains("first"), "{got}");
+        });
+    }
+}
+
+// SIGTERM while an answer is half written to a client that takes its time. Guards against a stop that cuts it off.
+#[test]
+fn an_answer_half_written_to_a_slow_client_is_whole_before_the_end() {
+    play("term-slow", CONFIG, 1, &[], |stage| async move {
+        let mut c = asks(stage.at, &[&read("a1")]).await;
+        let mut link = coming_up(&stage.members[0]).await;
+        welcome(&mut link).await;
+        assert!(statement(&mut link).await.is_some());
+        let value = "v".repeat(4_000_000);
+        let member = tokio::task::spawn_local(async move {
+            serves(&mut link, &value).await;
+            link
+        });
+        c.read_exact(&mut [0; 1000]).await.expect("it has begun");
+        stage.program.signal("-TERM");
+        stage.program.says("stopping, ").await;
+        let got = answer(&mut c).await;
+        assert!(got.len() > 3_999_000 && got.contains("SELECT 1"), "{} bytes", got.len());
+        assert_eq!(answer(&mut c).await, "", "then it is closed");
+        drop(member.await);
+        assert!(stage.program.end().await.success());
+    });
+}
+
+// SIGTERM while a repeat is due: the member breaks under a read, the program is held meanwhile. Guards against a request
+// that is forgotten between its two attempts.
+#[test]
+fn a_repeat_that_is_due_when_the_stop_comes_is_made() {
+    play("term-repeat", CONFIG, 2, &[], |stage| async move {
+        let mut c = asks(stage.at, &[&read("a1")]).await;
+        let (mut link, other) = tokio::select! {
+            link = coming_up(&stage.members[0]) => (link, 1),
+            link = coming_up(&stage.members[1]) => (link, 0),
+        };
+        welcome(&mut link).await;
+        assert!(statement(&mut link).await.is_some());
+        stage.program.signal("-STOP");
+        drop(link);
+        stage.program.signal("-TERM");
+        stage.program.signal("-CONT");
+        let mut next = coming_up(&stage.members[other]).await;
+        welcome(&mut next).await;
+        assert!(statement(&mut next).await.is_some_and(|s| s.contains("id=a1")));
+        serves(&mut next, "again").await;
+        assert!(answer(&mut c).await.contains("again"));
+        assert!(stage.program.end().await.success());
+    });
+}
+
 // SIGTERM while an attempt hangs: it ends by its deadline, with a final answer, and so does the program.
 #[test]
 fn a_request_that_hangs_through_a_stop_gets_its_answer_by_its_deadline() {
@@ -496,17 +674,60 @@
     });
 }
 
+/// A program that is held at reading its configuration until that is written to the pipe.
+fn held(name: &str, command: impl FnOnce(&Path) -> Command) -> (PathBuf, Child, std::fs::File) {
+    let path = file(name, "");
+    std::fs::remove_file(&path).expect("removed");
+    assert!(Command::new("mkfifo").arg(&path).status().is_ok_and(|s| s.success()));
+    let child = command(&path).spawn().expect("the program");
+    // It opens for writing once the program has opened it for reading.
+    let pipe = std::fs::OpenOptions::new().write(true).open(&path).expect("the pipe");
+    (path, child, pipe)
+}
+
+// A hand-over that is half done: the old version stops while the new one is held at its configuration, and clients connect
+// to the socket of both. Guards against a request that nobody takes, or that is turned back unheard.
+#[test]
+fn between_two_versions_requests_wait_in_the_socket_that_both_inherit() {
+    play("between", CONFIG, 1, &[], |stage| async move {
+        let text = std::fs::read_to_string(&stage.program.config).expect("a file");
+        let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = socket.local_addr().expect("an address");
+        let old = start(inheriting(&stage.program.config, &socket, "5"), stage.program.config.clone());
+        let (path, child, mut pipe) = held("between-new.json", |path| inheriting(path, &socket, "5"));
+        // One that the old version has, with its answer out, and one that comes once it is gone.
+        let mut first = asks(at, &[&read("a1")]).await;
+        let mut link = coming_up(&stage.members[0]).await;
+        welcome(&mut link).await;
+        assert!(statement(&mut link).await.is_some());
+        old.signal("-TERM");
+        old.says("stopping, ").await;
+        serves(&mut link, "old").await;
+        assert!(answer(&mut first).await.contains("old"));
+        assert_eq!(answer(&mut first).await, "", "then it is closed");
+        assert!(old.end().await.success());
+        let mut second = TcpStream::connect(at).await.expect("a connection");
+        second.write_all(&encoded(&[Sent::Startup, query(&read("a2"))])).await.expect("written");
+        pipe.write_all(text.as_bytes()).expect("written");
+        drop(pipe);
+        let new = listening(child, path);
+        let mut link = coming_up(&stage.members[0]).await;
+        welcome(&mut link).await;
+        assert!(statement(&mut link).await.is_some_and(|s| s.contains("id=a2")));
+        serves(&mut link, "new").await;
+        answer(&mut second).await;
+        assert!(answer(&mut second).await.contains("new"));
+        new.signal("-TERM");
+        assert!(new.end().await.success());
+    });
+}
+
 // A signal that comes while the program starts, held at reading its configuration. Guards against a reload that ends the
 // process or is lost, and against a stop that is taken for a crash.
 #[test]
 fn a_signal_amid_the_start_is_heeded_once_it_has_started() {
     for (signal, said) in [("-HUP", "reload: discovery is at 127.0.0.1:9"), ("-TERM", "stopping, ")] {
-        let path = file(&format!("start{signal}.json"), "");
-        std::fs::remove_file(&path).expect("removed");
-        assert!(Command::new("mkfifo").arg(&path).status().is_ok_and(|s| s.success()));
-        let child = program(&path).spawn().expect("the program");
-        // Opened for writing once the program has opened it for reading.
-        let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).expect("the pipe");
+        let (path, child, mut pipe) = held(&format!("start{signal}.json"), program);
         let sent = Command::new("kill").args([signal, &child.id().to_string()]).status();
         assert!(sent.is_ok_and(|s| s.success()));
         // What is read again by then names another discovery.
