What came since the runtime last waited counts before a connection is used or closed

Seen with a test: a query was there when a stop closed its resting connection (the program held until both were), and the connection ended over it unread, for the client to send it again elsewhere. Ruled out: bytes already read (they are waited for). Cause: the runtime answers try_read from what it was told when it last waited, so between two waits nothing new is seen. At fault: session::next at the stop and at made-room, and Link::unfit in Pool::take, where an idle connection that has ended is written to (Reset, which an unsafe write doesn't survive) and late bytes pass for the next answer. Both now ask the machine by a peek (socket2, which is used already): src/peek.rs. Tests: a_query_that_crosses_the_end_of_its_connection_is_answered_or_was_never_read, without the fix 'late in a stop it is refused' fails with an empty answer; an_idle_link_that_ended_since_the_runtime_last_looked, without it 'it is used on and on'. Cost: one call of the system for each attempt on a kept connection.

--- a/src/clients/session.rs
+++ b/src/clients/session.rs
@@ -6,6 +6,7 @@
 use crate::budget::Place;
 use crate::close_reason::CloseReason;
 use crate::lifecycle::View;
+use crate::peek::{Unread, unread};
 use crate::pg::PgError;
 use crate::pg::frontend::{Answer as Wire, Frontend, FrontendCodec};
 use crate::pg::statement::{self, Statement, StatementError};
@@ -23,6 +24,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, DuplexStream, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::Framed;
 
@@ -116,9 +118,18 @@
     fn ended(&self) -> bool {
         false
     }
+
+    /// Whether bytes of the client's are there that nobody has read.
+    fn waits(&self) -> bool {
+        false
+    }
 }
 
 impl Client for TcpStream {
+    fn waits(&self) -> bool {
+        unread(self) == Unread::Bytes
+    }
+
     fn ended(&self) -> bool {
         let ready = self.ready(Interest::READABLE).now_or_never();
         ready.and_then(Result::ok).is_some_and(|ready| ready.is_read_closed())
@@ -394,16 +405,17 @@
                 },
                 // What has begun to come is waited for.
                 () = ends, if self.framed.read_buffer().is_empty() => {
-                    // It may have begun only just now.
-                    if self.framed.read_buffer().is_empty() {
+                    // It may have begun only just now, also where the runtime was not told of it yet.
+                    if !self.begun().await {
                         return Err(CloseReason::Stopping);
                     }
+                    continue;
                 }
                 () = leaves => {
                     self.told = true;
                     let by = *rest_by.get_or_insert_with(|| Instant::now() + REST_WITHIN);
                     // A request whose first bytes are read is cut off only if the rest doesn't come soon.
-                    if !self.started || self.framed.read_buffer().is_empty() || Instant::now() >= by {
+                    if !self.started || Instant::now() >= by || !self.begun().await {
                         return Err(CloseReason::MadeRoom);
                     }
                     continue;
@@ -424,6 +436,16 @@
         }
     }
 
+    /// Whether a message has begun to come; what the machine holds of it is read next.
+    async fn begun(&mut self) -> bool {
+        let waits = self.framed.get_ref().waits();
+        if waits {
+            // The runtime hears of it when it waits next.
+            yield_now().await;
+        }
+        waits || !self.framed.read_buffer().is_empty()
+    }
+
     async fn violation(&mut self, problem: PgError) -> CloseReason {
         let reason = io_reason(&problem);
         let answer = match problem {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod figures;
 pub mod fleet;
 pub mod members;
+pub mod peek;
 pub mod pg;
 pub mod proxy;
 pub mod request;
--- a/src/members/link.rs
+++ b/src/members/link.rs
@@ -5,6 +5,7 @@
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::fleet::Unit;
 use crate::members::report;
+use crate::peek::{Unread, unread};
 use crate::pg::PgError;
 use crate::pg::backend::{Backend, BackendCodec, Command};
 use bytes::{Bytes, BytesMut};
@@ -186,6 +187,16 @@
         }
     }
 
+    /// The same by the machine's word, not the runtime's: what came since the runtime last looked counts. Asked right
+    /// before a statement is written.
+    pub fn unfit_now(&self) -> Option<CloseReason> {
+        self.unfit().or_else(|| match unread(self.framed.get_ref()) {
+            Unread::Nothing => None,
+            Unread::Bytes => Some(CloseReason::Protocol),
+            Unread::End => Some(CloseReason::PeerClosed),
+        })
+    }
+
     /// Writes a statement whole; it has not run if this fails.
     pub async fn write(&mut self, head: Bytes, tail: Bytes) -> Result<(), Outcome> {
         let sent = if tail.is_empty() {
--- a/src/members/pool.rs
+++ b/src/members/pool.rs
@@ -160,7 +160,7 @@
                 link.reason().set(CloseReason::GivenBack);
             } else if since.elapsed() >= self.0.retire {
                 link.reason().set(CloseReason::Retired);
-            } else if let Some(reason) = link.unfit() {
+            } else if let Some(reason) = link.unfit_now() {
                 link.reason().set(reason);
             } else {
                 link.reason().set(CloseReason::Cancelled);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -610,6 +610,43 @@
     }
 }
 
+// A query on a resting connection in the very moment that the stop closes it, in both orders. Guards against a request that
+// is read and not answered, and against one that is read once its connection is closed, and sent on.
+#[test]
+fn a_query_that_crosses_the_end_of_its_connection_is_answered_or_was_never_read() {
+    for (site, config) in SITES {
+        for closed_first in [false, true] {
+            play(&format!("resting-{site}-{closed_first}"), config, 1, &[], |stage| async move {
+                let mut resting = asks(stage.at, &[]).await;
+                let mut busy = asks(stage.at, &[&any(site, "a1")]).await;
+                let mut link = coming_up(&stage.members[0]).await;
+                welcome(&mut link).await;
+                assert!(statement(&mut link).await.is_some());
+                stage.program.signal("-TERM");
+                if closed_first {
+                    stage.program.says("code=stopping").await;
+                } else {
+                    // Held until the moment to close it has passed, and its query is there.
+                    stage.program.says("stopping, ").await;
+                    stage.program.signal("-STOP");
+                    tokio::time::sleep(Duration::from_millis(700)).await;
+                }
+                resting.write_all(&encoded(&[query(&any(site, "a2"))])).await.expect("written");
+                stage.program.signal("-CONT");
+                let got = answer(&mut resting).await;
+                assert_eq!(got.contains("C53300"), !closed_first, "late in a stop it is refused: {got}");
+                assert_eq!(answer(&mut resting).await, "", "then it is closed");
+                serves(&mut link, "one").await;
+                assert!(answer(&mut busy).await.contains("one"));
+                assert!(!rest(link).await.contains("id=a2"));
+                assert!(stage.program.end().await.success());
+                let more = timeout(Duration::ZERO, stage.members[0].accept()).await;
+                assert!(more.is_err(), "it went to no member");
+            });
+        }
+    }
+}
+
 // SIGTERM while an answer is half written to a client that takes its time. Guards against a stop that cuts it off.
 #[test]
 fn an_answer_half_written_to_a_slow_client_is_whole_before_the_end() {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -35,6 +35,7 @@
 use linenhill::stages::{Answer, Input};
 use linenhill::takeover::{saved, words::Words};
 use std::cell::RefCell;
+use std::io::{Read, Write};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -523,6 +524,52 @@
     tokio::task::LocalSet::new().run_until(play).await;
 }
 
+// The member ends an idle connection, or speaks on it, between two waits of the runtime: this thread goes on without one.
+// Guards against a statement that is written to a closed connection, and against late bytes that are taken for its answer.
+#[tokio::test]
+async fn an_idle_link_that_ended_since_the_runtime_last_looked_is_not_used() {
+    for how in ["ends", "resets", "speaks"] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let greeted = std::thread::spawn(move || {
+            let (mut far, _) = listener.accept().expect("a connection");
+            let mut length = [0; 4];
+            far.read_exact(&mut length).expect("a length");
+            let rest = u32::from_be_bytes(length) as usize - 4;
+            far.read_exact(&mut vec![0; rest]).expect("a startup message");
+            far.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I").expect("written");
+            far
+        });
+        let (m, long) = (MemberId(1), Duration::from_secs(60));
+        let pool = Pool::new(1, Duration::from_secs(3_600), long, Rc::new(Counters::default()));
+        pool.locate(m, at);
+        let place = pool.place().expect("a place");
+        let Ok(link) = Link::open(at, place, long).await else { panic!("no link") };
+        let mut far = greeted.join().expect("a member");
+        pool.give(m, link);
+        // Longer than it rests.
+        std::thread::sleep(Duration::from_millis(5));
+        assert!(pool.take(m).map(|link| pool.give(m, link)).is_some(), "nothing came");
+        if how == "resets" {
+            socket2::SockRef::from(&far).set_linger(Some(Duration::ZERO)).expect("set");
+        }
+        let kept = match how {
+            "speaks" => far.write_all(b"Z\0\0\0\x05I").map(|()| Some(far)).expect("written"),
+            _ => {
+                drop(far);
+                None
+            }
+        };
+        // Written is not arrived, on a busy machine.
+        let used = |_: &u32| {
+            std::thread::sleep(Duration::from_millis(5));
+            pool.take(m).map(|link| pool.give(m, link)).is_some()
+        };
+        assert!((0..1_000).take_while(used).count() < 1_000, "{how}: it is used on and on");
+        drop(kept);
+    }
+}
+
 // Guards against work that was decided before a drain was told of and sent after it, since its connection took its time.
 #[tokio::test]
 async fn a_statement_that_waits_for_its_connection_is_not_sent_once_the_member_drains() {
