Every silent watch counts until it is over; rules on attempts hold in any order of events

Seen with a new property test of asking over orders of events (500 seeds): after two silent watches and a call that failed, the next call came after what the second one missed binds. Ruled out: the window, the least gap, the chance. At fault: Asking::failed kept the earlier of the two times, and dropped both once that was over; the gap then fell back to the window of a whole fleet (8 s at 300). All are kept now, eight at most. Test in_any_order_one_call_is_out_and_the_next_comes_in_time, without the fix: 'none by, it is'.

--- a/crates/decisions/src/asking.rs
+++ b/crates/decisions/src/asking.rs
@@ -10,6 +10,8 @@
 //! Until then the calls use what time is left, all of it by chance, since all watches may have fallen silent at once
 //! (`docs/design/crossings.md`).
 
+use std::collections::BTreeSet;
+
 /// A turn that the service is taken to need for a call, in microseconds. A guess: its capacity is told nowhere.
 const TURN: u64 = 40_000;
 /// The windows of the smallest fleets: after a first failure, and the longest, in microseconds.
@@ -18,6 +20,8 @@
 const TOLD_AFTER: u64 = 6_000_000;
 /// Of the time that is left then, what is set aside for the call itself and what comes after it, in microseconds.
 const CALL: u64 = 1_000_000;
+/// So many silent watches are kept in mind: silence takes 1.5 s to be noticed, and counts for 6 s and a grace.
+const SILENCES: usize = 8;
 /// The least gap, in microseconds: a service that fails calls at once is not asked in a loop.
 const GAP_LEAST: u64 = 50_000;
 
@@ -31,8 +35,9 @@
     longest: u64,
     window: u64,
     grace: u64,
-    /// A watch has fallen silent, and nothing was heard since: by then the next call must go out at the latest.
-    by: Option<u64>,
+    /// Watches have fallen silent, and nothing was heard since: by then calls must go out at the latest, for what each
+    /// of them missed.
+    by: BTreeSet<u64>,
 }
 
 impl Asking {
@@ -46,7 +51,7 @@
             Some(me) => ((u64::from(me % fleet.max(1)) * TURN).min(longest), TURN),
             None => (0, turns.min(longest)),
         };
-        Asking { at: now, slot, first, longest, window: first, grace: 0, by: None }
+        Asking { at: now, slot, first, longest, window: first, grace: 0, by: BTreeSet::new() }
     }
 
     /// The same, where a member that drains may be sent to for so long after it was told.
@@ -65,22 +70,26 @@
 
     /// The call brought a list, or the word that there is nothing new.
     pub fn told(&mut self) {
-        (self.window, self.by) = (self.first, None);
+        self.window = self.first;
+        self.by.clear();
     }
 
     /// The call failed, or the watch ended; `quiet` where it fell silent, and since when. `chance` (0 to 1) places the
     /// next one in the later half of the window, or anywhere in the time left since a watch fell silent.
     pub fn failed(&mut self, now: u64, chance: f64, quiet: Option<u64>) {
-        self.by = self.by.filter(|by| *by > now);
         if let Some(quiet) = quiet {
             let told = now.saturating_sub(quiet).saturating_add(TOLD_AFTER).saturating_add(self.grace);
-            let by = told.saturating_sub(CALL).max(now);
-            // A second silent watch leaves no more time: what the first one missed still counts from there.
-            self.by = Some(self.by.map_or(by, |first| first.min(by)));
+            // A second silent watch leaves no more time: what the first one missed still counts from there. Once that
+            // is over, what the second one missed does.
+            self.by.insert(told.saturating_sub(CALL));
+            while self.by.len() > SILENCES {
+                self.by.pop_last();
+            }
         }
-        let gap = match self.by.map(|by| by - now) {
-            Some(room) if room > 0 => (self.window.min(room) as f64 * chance) as u64,
-            _ => (self.window as f64 * (0.5 + 0.5 * chance)) as u64,
+        self.by.retain(|by| *by > now);
+        let gap = match self.by.first().map(|by| by - now) {
+            Some(room) => (self.window.min(room) as f64 * chance) as u64,
+            None => (self.window as f64 * (0.5 + 0.5 * chance)) as u64,
         };
         self.at = Some(now + gap.max(GAP_LEAST));
         self.window = (self.window * 2).min(self.longest);
--- a/crates/decisions/tests/asking.rs
+++ b/crates/decisions/tests/asking.rs
@@ -129,3 +129,47 @@
         assert!(asking.due(now + WITHIN));
     }
 }
+
+// Any order of calls that bring a list, fail, or fall silent once or again. Guards against a second call beside one that is
+// out, against one that is never made, and against one after a drain binds of which the silent watch should have told.
+#[test]
+fn in_any_order_one_call_is_out_and_the_next_comes_in_time() {
+    for seed in 0..500 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (fleet, grace) = (*rng.choice(&[1, 12, 300]).expect("one"), rng.u64(..2_000) * MS);
+        let mut asking = Asking::new(None, fleet, WITHIN, Some(0)).within_grace(grace);
+        let (mut now, mut out, mut opened, mut by, mut missed) = (0, false, 0, 0, Vec::new());
+        for _ in 0..80 {
+            if rng.bool() {
+                now += rng.u64(..1_500) * MS;
+            }
+            let due = asking.due(now);
+            assert!(!due || !out, "{seed}: a call beside one that is out");
+            assert!(due || out || now <= by, "{seed}: none by {by}, it is {now}");
+            opened = if due { now } else { opened };
+            out |= due;
+            assert!(!asking.due(now), "{seed}: said twice");
+            if !out {
+                continue;
+            }
+            match rng.u32(..4) {
+                0 => {
+                    asking.told();
+                    missed.clear();
+                }
+                1 => {}
+                failed => {
+                    // No watch is silent for longer than it is open, and silence is noticed after 3 s.
+                    let quiet = (failed == 3).then(|| rng.u64(..=(now - opened).min(3_000 * MS)));
+                    asking.failed(now, rng.f64(), quiet);
+                    let binds = quiet.map(|q| now.saturating_sub(q) + 6_000 * MS + grace);
+                    // Every silence since anything was heard counts, until it is over.
+                    missed.extend(binds);
+                    missed.retain(|binds| *binds > now + 1_050 * MS);
+                    let first = missed.iter().min().map(|binds| binds - 1_000 * MS);
+                    (out, by) = (false, first.unwrap_or(u64::MAX).min(now + WITHIN / 5 * 4));
+                }
+            }
+        }
+    }
+}
--- a/crates/decisions/tests/watching.rs
+++ b/crates/decisions/tests/watching.rs
@@ -61,3 +61,28 @@
     assert_eq!(seconds(&mut news, 62..68), []);
     assert_eq!(seconds(&mut news, 68..69), [(68, Notice::Quiet(6_000 * MS))]);
 }
+
+// Any order of watches that end at once or later, and of moves. Guards against a second watch beside one that is open, and
+// against a pause of over a quarter of a drain's grace.
+#[test]
+fn in_any_order_one_watch_is_open_and_the_next_comes_in_time() {
+    for seed in 0..500 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let grace = rng.u64(..3_000) * MS;
+        let (mut watching, mut now) = (Watching::new(0, grace), 0);
+        for _ in 0..80 {
+            let due = watching.due().expect("a watch is due where none is open");
+            assert!(due <= now + (grace / 4).clamp(10 * MS, 250 * MS), "{seed}: {due} at {now}");
+            now = now.max(due);
+            watching.opening(now);
+            assert_eq!(watching.due(), None, "{seed}: one at a time");
+            now += *rng.choice(&[0, 1, 900, 1_000, 5_000]).expect("one") * MS;
+            if rng.u32(..4) == 0 {
+                watching.moved(now);
+                assert_eq!(watching.due(), Some(now), "{seed}: at once where it moved to");
+            } else {
+                watching.ended(now, rng.f64());
+            }
+        }
+    }
+}
