A program that ends before it reads its configuration fails its test at once, not never

Seen with crossings eight at a time: 55 of 56 plays passed, one waited for ever in between_two_versions_... for a program that had not opened its configuration's pipe. Why that program ended is not known; the test now looks for the open pipe and names the program's end. A held process that has ended is named too.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -800,9 +800,17 @@
     let path = file(name, "");
     std::fs::remove_file(&path).expect("removed");
     assert!(Command::new("mkfifo").arg(&path).status().is_ok_and(|s| s.success()));
-    let child = command(&path).spawn().expect("the program");
-    // It opens for writing once the program has opened it for reading.
-    let pipe = std::fs::OpenOptions::new().write(true).open(&path).expect("the pipe");
+    // Open for both, it waits for nobody; the program reads to the end that comes when this is dropped.
+    let pipe = std::fs::OpenOptions::new().read(true).write(true).open(&path).expect("the pipe");
+    let mut child = command(&path).spawn().expect("the program");
+    let open = format!("/proc/{}/fd", child.id());
+    let reads = |entry: std::io::Result<std::fs::DirEntry>| {
+        entry.and_then(|entry| std::fs::read_link(entry.path())).is_ok_and(|link| link == path)
+    };
+    while !std::fs::read_dir(&open).is_ok_and(|mut entries| entries.any(reads)) {
+        assert_eq!(child.try_wait().expect("a child"), None, "it has ended before it read its configuration");
+        std::thread::sleep(Duration::from_millis(1));
+    }
     (path, child, pipe)
 }
 
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -82,7 +82,9 @@
     pub fn hold(&self) {
         self.signal("-STOP");
         let stat = format!("/proc/{}/stat", self.child.borrow().id());
-        while !std::fs::read_to_string(&stat).expect("a process").contains(") T ") {
+        let state = || std::fs::read_to_string(&stat).expect("a process");
+        while !state().contains(") T ") {
+            assert!(!state().contains(") Z "), "it has ended");
             std::thread::sleep(std::time::Duration::from_millis(1));
         }
     }
