Count members' answers against the memory limit until their clients have them

Cause: a request behind an unanswered one is submitted at once, and its answer waits in the session's channel for its turn. Memory was divided among clients' messages alone; nobody counted answers.

Change: a row is read once memory for its declared length is acquired, and the memory is released with the last reference to its bytes. A request behind an unanswered one needs memory for the largest answer, out of a part of that share, and otherwise runs in its turn or once memory is free; so a request whose turn it is never waits for answers that wait for it. Answers over 8 KiB and statements over 4 KiB are written without a copy that nobody counts.

--- a/src/clients/pipeline.rs
+++ b/src/clients/pipeline.rs
@@ -33,6 +33,23 @@
     Ignored,
 }
 
+impl ClientMessage {
+    /// The message with its request submitted by `submit`, if it is a blocked one.
+    fn submitted_by(
+        self, submit: impl FnOnce(OpenRequest, Instant) -> Result<PendingRequest, FinalResponse>,
+    ) -> ClientMessage {
+        let ClientMessage::Request(request) = self else { return self };
+        let PipelinedRequest { order, state, memory } = *request;
+        let state = match state {
+            RequestState::Blocked(request, arrived_at) => {
+                RequestState::Submitted(submit(request, arrived_at))
+            }
+            submitted => submitted,
+        };
+        ClientMessage::Request(Box::new(PipelinedRequest { order, state, memory }))
+    }
+}
+
 /// A request whose id is open, and which holds the memory of its message.
 pub struct PipelinedRequest {
     /// Determines the requests that it must not run concurrently with.
@@ -47,7 +64,8 @@
 pub enum RequestState {
     /// Submitted, or rejected by the gateway with a final answer.
     Submitted(Result<PendingRequest, FinalResponse>),
-    /// Waits for earlier requests that it must not run concurrently with; carries the time of its arrival.
+    /// Waits for its turn, because it must not run concurrently with an earlier request or no memory was left for its
+    /// answer; carries the time of its arrival.
     Blocked(OpenRequest, Instant),
 }
 
@@ -74,6 +92,8 @@
     messages: VecDeque<ClientMessage>,
     /// The order of the request that is being answered.
     current: RequestOrder,
+    /// Whether a request is being answered.
+    is_answering: bool,
 }
 
 impl Pipeline {
@@ -87,6 +107,11 @@
         self.messages.iter().any(|message| matches!(message, ClientMessage::Request(_)))
     }
 
+    /// Whether a message that arrives now has to wait for the answer of an earlier request.
+    pub fn has_unanswered(&self) -> bool {
+        self.is_answering || self.has_requests()
+    }
+
     /// Whether no further message may be read.
     pub fn is_full(&self) -> bool {
         self.messages.len() >= MAX_MESSAGES
@@ -94,11 +119,37 @@
 
     /// Whether a request with this order must wait for an earlier one.
     pub fn blocks(&self, order: &RequestOrder) -> bool {
+        self.depends_on_earlier(order, self.messages.len())
+    }
+
+    /// The index of the first request that waits for its turn although it depends on no earlier one.
+    pub fn next_runnable(&self) -> Option<usize> {
+        (0..self.messages.len()).find(|index| self.is_runnable(*index))
+    }
+
+    /// Submits the request at an index that [`Self::next_runnable`] returned, by `submit`.
+    pub fn submit_runnable(
+        &mut self, index: usize,
+        submit: impl FnOnce(OpenRequest, Instant) -> Result<PendingRequest, FinalResponse>,
+    ) {
+        let Some(message) = self.messages.remove(index) else { return };
+        self.messages.insert(index, message.submitted_by(submit));
+    }
+
+    fn is_runnable(&self, index: usize) -> bool {
+        let Some(ClientMessage::Request(request)) = self.messages.get(index) else { return false };
+        let is_blocked = matches!(request.state, RequestState::Blocked(..));
+        is_blocked && !self.depends_on_earlier(&request.order, index)
+    }
+
+    /// Whether a request with this order depends on the one that is being answered, or on one of the first `count`
+    /// messages.
+    fn depends_on_earlier(&self, order: &RequestOrder, count: usize) -> bool {
         let depends = |message: &ClientMessage| match message {
             ClientMessage::Request(request) => order.depends_on(&request.order),
             _ => false,
         };
-        order.depends_on(&self.current) || self.messages.iter().any(depends)
+        order.depends_on(&self.current) || self.messages.iter().take(count).any(depends)
     }
 
     /// Appends the latest message.
@@ -114,10 +165,12 @@
     /// Records that the request with this order is being answered.
     pub fn begin_answer(&mut self, order: RequestOrder) {
         self.current = order;
+        self.is_answering = true;
     }
 
     /// Records that no request is being answered.
     pub fn finish_answer(&mut self) {
         self.current = RequestOrder::default();
+        self.is_answering = false;
     }
 }
--- a/src/clients/request_gateway.rs
+++ b/src/clients/request_gateway.rs
@@ -8,6 +8,7 @@
 use crate::stages::accounting::{AccountingTicket, RequestAccounting};
 use crate::stages::admission::{RejectionCause, RequestAdmission};
 use crate::stages::request_intake::{IntakeError, OpenId, RequestIntake};
+use crate::stages::response_channel::{ResponseReceiver, response_channel};
 use crate::stages::{AcceptedRequest, DriverInput, FinalResponse};
 use crate::upstream::send_guard::SendGuard;
 use bytes::Bytes;
@@ -15,7 +16,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
 /// Time after which to retry, sent with a rejection for lack of memory, because too many requests are held, or because
@@ -52,7 +53,7 @@
 /// the driver is notified that the client has disconnected.
 pub struct PendingRequest {
     id: RequestId,
-    answer: oneshot::Receiver<FinalResponse>,
+    answer: ResponseReceiver,
     ticket: Option<AccountingTicket>,
     inbox: mpsc::UnboundedSender<DriverInput>,
     _held_slot: ResourcePermit,
@@ -63,7 +64,7 @@
     /// Waits for the final answer, and records its result unless the answer is streamed. The answer is
     /// [`FinalResponse::Failed`] if the driver has ended.
     pub async fn answer(&mut self) -> FinalResponse {
-        let answer = (&mut self.answer).await.unwrap_or(FinalResponse::Failed);
+        let answer = self.answer.recv().await.unwrap_or(FinalResponse::Failed);
         if !matches!(answer, FinalResponse::Streaming(_)) {
             self.record_result(&answer);
         }
@@ -180,11 +181,25 @@
         answer
     }
 
-    /// Submits a request to the driver. `waited` is the time since its arrival, by which its timeout is reduced.
+    /// Reserves memory for the answer of a request behind an unanswered one; `None` if too little is free, so that the
+    /// request must wait for its turn.
+    pub fn reserve_read_ahead(&self) -> Option<ResourcePermit> {
+        self.admission.reserve_read_ahead()
+    }
+
+    /// Counts a request that waits for its turn, since there was no memory to answer it ahead.
+    pub fn count_read_ahead_wait(&self) {
+        self.accounting.record_read_ahead_wait();
+    }
+
+    /// Submits a request to the driver. `waited` is the time since its arrival, by which its timeout is reduced;
+    /// `reserved` is memory for its answer if that may have to wait for its turn.
     ///
     /// # Errors
     /// The final answer, if the request is rejected without being submitted.
-    pub fn submit(&self, request: OpenRequest, waited: Duration) -> Result<PendingRequest, FinalResponse> {
+    pub fn submit(
+        &self, request: OpenRequest, waited: Duration, reserved: Option<ResourcePermit>,
+    ) -> Result<PendingRequest, FinalResponse> {
         let OpenRequest { mut incoming, class, id: open_id, ticket, .. } = request;
         let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
         incoming.timeout_ms = incoming.timeout_ms.saturating_sub(waited_ms);
@@ -193,7 +208,7 @@
             Ok(held_slot) => held_slot,
             Err(cause) => return Err(self.reject_ticket(ticket, cause)),
         };
-        let (reply, answer) = oneshot::channel();
+        let (reply, answer) = response_channel(reserved);
         let deadline = Instant::now() + Duration::from_micros(request.time_left.0);
         let id = request.id;
         debug!(
--- a/src/clients/session/message_intake.rs
+++ b/src/clients/session/message_intake.rs
@@ -73,7 +73,8 @@
         ClientMessage::Request(Box::new(PipelinedRequest { order, state, memory }))
     }
 
-    /// Submits a request, unless it depends on an earlier one of the same connection. Rejects it if the process no
+    /// Submits a request, unless it depends on an earlier one of the same connection or its answer might have to wait
+    /// for its turn without memory. Rejects it if the process no
     /// longer accepts requests.
     fn submit(&self, request: OpenRequest, order: &RequestOrder) -> RequestState {
         if self.serving_state.borrow().rejects_requests {
@@ -86,7 +87,19 @@
         if self.pipeline.blocks(order) {
             return RequestState::Blocked(request, arrived_at);
         }
-        RequestState::Submitted(self.gateway.submit(request, arrived_at.elapsed()))
+        if !self.pipeline.has_unanswered() {
+            return RequestState::Submitted(self.gateway.submit(request, arrived_at.elapsed(), None));
+        }
+        // The answer may have to wait for its turn.
+        match self.gateway.reserve_read_ahead() {
+            Some(reserved) => {
+                RequestState::Submitted(self.gateway.submit(request, arrived_at.elapsed(), Some(reserved)))
+            }
+            None => {
+                self.gateway.count_read_ahead_wait();
+                RequestState::Blocked(request, arrived_at)
+            }
+        }
     }
 
     /// Counts a statement that is not a valid request. After too many consecutive ones no more input is read: messages
--- a/src/clients/session/respond.rs
+++ b/src/clients/session/respond.rs
@@ -8,6 +8,8 @@
 use crate::clients::pipeline::{PipelinedRequest, RequestState};
 use crate::clients::request_gateway::PendingRequest;
 use crate::close_reason::CloseReason;
+use crate::pg::PgError;
+use crate::pg::backend::INITIAL_BUFFER_BYTES;
 use crate::pg::frontend::Reply;
 use crate::stages::FinalResponse;
 use crate::upstream::response::{ResponseChunk, StreamingResponse};
@@ -40,8 +42,11 @@
         self.pipeline.begin_answer(order);
         let submitted = match state {
             RequestState::Submitted(submitted) => submitted,
-            RequestState::Blocked(request, arrived_at) => self.gateway.submit(request, arrived_at.elapsed()),
+            RequestState::Blocked(request, arrived_at) => {
+                self.gateway.submit(request, arrived_at.elapsed(), None)
+            }
         };
+        self.submit_runnable();
         let answer = match submitted {
             Ok(mut pending) => match self.wait_for_answer(&mut pending).await? {
                 FinalResponse::Streaming(response) => {
@@ -57,6 +62,17 @@
         Ok(())
     }
 
+    /// Submits requests that wait behind the current one, as far as there is memory for their answers now.
+    fn submit_runnable(&mut self) {
+        while let Some(index) = self.pipeline.next_runnable() {
+            let Some(reserved) = self.gateway.reserve_read_ahead() else { return };
+            let gateway = self.gateway.clone();
+            self.pipeline.submit_runnable(index, |request, arrived_at| {
+                gateway.submit(request, arrived_at.elapsed(), Some(reserved))
+            });
+        }
+    }
+
     /// Waits for an answer and reads messages ahead while the pipeline has room.
     async fn wait_for_answer(&mut self, pending: &mut PendingRequest) -> Result<FinalResponse, CloseReason> {
         loop {
@@ -134,9 +150,9 @@
     pub(super) async fn send<const N: usize>(&mut self, replies: [Reply; N]) -> Result<(), CloseReason> {
         let all = async {
             for reply in replies {
-                self.framed.feed(reply).await?;
+                self.write_reply(reply).await?;
             }
-            self.framed.flush().await
+            SinkExt::<Reply>::flush(&mut self.framed).await
         };
         match timeout(WRITE_TIMEOUT, all).await {
             Ok(written) => written.map_err(|error| replies::close_reason(&error)),
@@ -144,6 +160,18 @@
         }
     }
 
+    /// Writes a reply, or adds it to the write buffer. An answer that is longer than the buffer is written directly:
+    /// its memory is released once it is written, and a copy in the buffer would not be counted.
+    async fn write_reply(&mut self, reply: Reply) -> Result<(), PgError> {
+        match reply {
+            Reply::Raw(bytes) if bytes.len() > INITIAL_BUFFER_BYTES => {
+                SinkExt::<Reply>::flush(&mut self.framed).await?;
+                Ok(self.framed.get_mut().write_all(&bytes).await?)
+            }
+            reply => self.framed.feed(reply).await,
+        }
+    }
+
     /// Frees large buffers that are empty.
     fn shrink_buffers(&mut self) {
         if exceeds_kept_size(self.framed.read_buffer()) {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -120,6 +120,10 @@
     refused_memory,
     /// Requests rejected because the process was stopping.
     refused_stopping,
+    /// Replies that waited, unread, for memory of other replies.
+    response_memory_waits,
+    /// Requests behind an unanswered one that waited for their turn, since no memory was left to answer them ahead.
+    read_ahead_waits,
     /// Client connections accepted, including those closed at once.
     clients,
     /// Member connections for which a descriptor was reserved, whether or not they were established.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod proxy;
 pub mod request;
 pub mod resource_limit;
+pub mod response_memory;
 pub mod socket_state;
 pub mod stages;
 pub mod timeouts;
--- a/src/pg/backend.rs
+++ b/src/pg/backend.rs
@@ -23,6 +23,9 @@
     },
     /// The description of rows with one column: the complete message.
     RowDescription(Bytes),
+    /// The header of a row has arrived that is decoded with its value, and whose length field is this. The row follows;
+    /// its memory must be acquired before it is read.
+    RowAnnounced(usize),
     /// A row with one column.
     DataRow {
         /// The complete message.
@@ -56,6 +59,8 @@
 /// The codec of a connection to a member.
 #[derive(Default)]
 pub struct BackendCodec {
+    /// Whether the row that is arriving was announced.
+    has_announced: bool,
     /// Number of bytes of a long value that have not been decoded yet.
     value_bytes_remaining: usize,
 }
@@ -67,9 +72,11 @@
 /// The only column count that rows and their descriptions may have.
 const ONE_COLUMN: u16 = 1;
 /// The largest chunk of a long value.
-const MAX_CHUNK_BYTES: usize = 16 * 1024;
+pub const MAX_CHUNK_BYTES: usize = 8 * 1024;
+/// Capacity of a new read buffer; the default of `Framed`.
+pub const INITIAL_BUFFER_BYTES: usize = 8 * 1024;
 /// The largest message other than a row. Notices, parameters and errors contain short texts.
-const MAX_TEXT_MESSAGE_BYTES: usize = 8 * 1024;
+pub const MAX_TEXT_MESSAGE_BYTES: usize = 8 * 1024;
 /// Size of a column's description after its name: table, position, type, size, modifier, format.
 const COLUMN_ATTRIBUTES_BYTES: usize = 18;
 /// Length of an SQLSTATE.
@@ -188,6 +195,13 @@
     }
 }
 
+/// Copies the input behind a message into a new buffer, so that it does not keep the buffer of the message alive.
+fn replace_buffer(src: &mut BytesMut) {
+    let mut replacement = BytesMut::with_capacity(INITIAL_BUFFER_BYTES.max(src.len()));
+    replacement.extend_from_slice(src);
+    *src = replacement;
+}
+
 impl BackendCodec {
     /// Removes the available bytes of a long value, at most [`MAX_CHUNK_BYTES`]; `None` if there are none.
     fn take_value_chunk(&mut self, src: &mut BytesMut) -> Option<BackendMessage> {
@@ -226,7 +240,19 @@
         if header.message_type == b'D' && header.length > ROW_OVERHEAD_BYTES + MAX_BUFFERED_VALUE_BYTES {
             return self.take_long_row_head(src, header.length);
         }
-        let Some(raw) = take_message(src, header.length) else { return Ok(None) };
+        if header.message_type == b'D' && !self.has_announced {
+            self.has_announced = true;
+            return Ok(Some(BackendMessage::RowAnnounced(header.length)));
+        }
+        let Some(raw) = take_message(src, header.length) else {
+            // Reserves exactly the size of the message: a buffer that grows by doubling could take twice as much.
+            src.reserve((1 + header.length).saturating_sub(src.len()));
+            return Ok(None);
+        };
+        self.has_announced = false;
+        if raw.len() > INITIAL_BUFFER_BYTES {
+            replace_buffer(src);
+        }
         decode_message(header.message_type, raw).map(Some)
     }
 
--- a/src/proxy/capacity.rs
+++ b/src/proxy/capacity.rs
@@ -5,7 +5,7 @@
 use crate::api::Micros;
 use crate::config::Config;
 use crate::connection_admission::AdmissionLimits;
-use crate::stages::admission::RequestAdmission;
+use crate::stages::admission::{AdmissionCapacity, RequestAdmission};
 
 /// Descriptors reserved for the listener, discovery, the runtime and the log.
 const RESERVED_DESCRIPTORS: usize = 20;
@@ -26,6 +26,11 @@
 /// Fraction of the memory for long messages. At the smallest memory limit, 32 MB, it holds one message of maximum
 /// length.
 const LONG_MESSAGES_FRACTION: f64 = 0.4;
+/// Fraction of the memory for replies of members, from their arrival until their clients have them.
+const RESPONSES_FRACTION: f64 = 0.2;
+/// Fraction of the memory for the part of these replies that may wait behind an unanswered request. The rest is for
+/// requests whose turn it is, so that these never wait for one another's answers.
+const READ_AHEAD_FRACTION: f64 = 0.08;
 
 /// The descriptors and the memory of the process, from the configuration.
 pub(super) struct Capacity {
@@ -68,9 +73,22 @@
         }
     }
 
+    fn memory_share(&self, fraction: f64) -> usize {
+        (self.memory as f64 * fraction) as usize
+    }
+
+    /// The memory for replies of members, in bytes.
+    pub(super) fn response_bytes(&self) -> usize {
+        self.memory_share(RESPONSES_FRACTION)
+    }
+
     /// Creates the admission control for requests, which holds at most `max_open` requests at a time.
     pub(super) fn request_admission(&self, max_open: usize) -> RequestAdmission {
-        let long_messages = (self.memory as f64 * LONG_MESSAGES_FRACTION) as usize;
-        RequestAdmission::new(max_open, self.memory / MESSAGES_DIVISOR, long_messages)
+        RequestAdmission::new(AdmissionCapacity {
+            max_requests: max_open,
+            message_bytes: self.memory / MESSAGES_DIVISOR,
+            long_message_bytes: self.memory_share(LONG_MESSAGES_FRACTION),
+            read_ahead_bytes: self.memory_share(READ_AHEAD_FRACTION),
+        })
     }
 }
--- a/src/proxy/parts.rs
+++ b/src/proxy/parts.rs
@@ -25,7 +25,7 @@
 use crate::stages::driver::{Driver, DriverParts};
 use crate::stages::request_intake::RequestIntake;
 use crate::stages::response_delivery::ResponseDelivery;
-use crate::upstream::pool::Pool;
+use crate::upstream::pool::{Pool, PoolLimits};
 use crate::upstream::send_guard::SendGuard;
 use crate::watch_schedule::WatchSchedule;
 use linenhill_cluster::client::FleetClient;
@@ -69,14 +69,13 @@
         let lease = ListLease::new(clock.now(), settings.discovery, settings.rules.drain_grace);
         let guard = SendGuard::new(lease, known_version, clock, metrics.invariants());
         let connect_timeout = Duration::from_micros(settings.limits.connect_timeout.0);
-        let pool = Pool::with_quota(
-            capacity.max_member_connections(),
-            Duration::from_micros(settings.limits.idle_close.0),
-            connect_timeout.max(MIN_CONNECT_TIMEOUT),
-            counters.clone(),
-            quota.clone(),
-            guard.clone(),
-        );
+        let pool_limits = PoolLimits {
+            max_connections: capacity.max_member_connections(),
+            response_bytes: capacity.response_bytes(),
+            idle_close: Duration::from_micros(settings.limits.idle_close.0),
+            connect_timeout: connect_timeout.max(MIN_CONNECT_TIMEOUT),
+        };
+        let pool = Pool::with_quota(pool_limits, counters.clone(), quota.clone(), guard.clone());
         let accounting = RequestAccounting::new(counters.clone(), metrics.clone());
         let discovery_status = Rc::new(DiscoveryStatus::new(known_version, clock, guard.clone()));
         if let Some(known) = config.known.take() {
--- a/src/request.rs
+++ b/src/request.rs
@@ -4,8 +4,9 @@
 use bytes::Bytes;
 use std::ops::Range;
 
-/// Longest text after the timeout that is copied for an attempt; a longer one is shared.
-const MAX_COPIED_BYTES: usize = 64 * 1024;
+/// Longest text after the timeout that is copied for an attempt; a longer one is shared, so that its memory is taken
+/// only once however many attempts are being written.
+const MAX_COPIED_BYTES: usize = 4 * 1024;
 
 /// The text of a request without its timeout. Each attempt inserts the time left at its start.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/resource_limit.rs
+++ b/src/resource_limit.rs
@@ -19,6 +19,15 @@
     weight: usize,
 }
 
+impl ResourcePermit {
+    /// Releases all units but `weight`. Has no effect if fewer are held.
+    pub fn shrink_to(&mut self, weight: usize) {
+        let released = self.weight.saturating_sub(weight);
+        self.weight -= released;
+        self.in_use.set(self.in_use.get().saturating_sub(released));
+    }
+}
+
 impl Drop for ResourcePermit {
     fn drop(&mut self) {
         self.in_use.set(self.in_use.get().saturating_sub(self.weight));
--- a/src/stages/accounting.rs
+++ b/src/stages/accounting.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Counts a request that waits for its turn, since no memory is left to answer it ahead.
+    pub fn record_read_ahead_wait(&self) {
+        self.counters.read_ahead_waits.add();
+    }
+
     /// Counts the outcome of an attempt.
     pub fn record_attempt_outcome(&self, outcome: Outcome) {
         let counters = &self.counters;
--- a/src/stages/admission.rs
+++ b/src/stages/admission.rs
@@ -2,6 +2,7 @@
 //! wait and does not depend on the state of members; sessions wait for the memory of long messages themselves.
 
 use crate::resource_limit::{ResourceLimit, ResourcePermit};
+use crate::upstream::response::MAX_RESPONSE_BYTES;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
@@ -21,8 +22,21 @@
     Stopping,
 }
 
+/// What requests may use. All sizes are in bytes.
+pub struct AdmissionCapacity {
+    /// The most requests that are held at a time.
+    pub max_requests: usize,
+    /// The memory that ordinary messages share, including those still being read.
+    pub message_bytes: usize,
+    /// The additional memory that long messages share, at most `MAX_SEMAPHORE_PERMITS`.
+    pub long_message_bytes: usize,
+    /// The memory for answers that wait behind unanswered requests of their connections.
+    pub read_ahead_bytes: usize,
+}
+
 /// The limits on requests and their messages.
 pub struct RequestAdmission {
+    read_ahead: ResourceLimit,
     held_requests: ResourceLimit,
     message_memory: ResourceLimit,
     long_message_memory: Arc<Semaphore>,
@@ -31,13 +45,13 @@
 }
 
 impl RequestAdmission {
-    /// Limits held requests to `max_requests`. Their messages, including those still being read, share
-    /// `message_bytes`; long messages share an additional `long_message_bytes`, at most `MAX_SEMAPHORE_PERMITS`.
-    pub fn new(max_requests: usize, message_bytes: usize, long_message_bytes: usize) -> RequestAdmission {
-        let max_long_message = long_message_bytes.min(MAX_SEMAPHORE_PERMITS);
+    /// Creates admission control within `capacity`.
+    pub fn new(capacity: AdmissionCapacity) -> RequestAdmission {
+        let max_long_message = capacity.long_message_bytes.min(MAX_SEMAPHORE_PERMITS);
         RequestAdmission {
-            held_requests: ResourceLimit::new(max_requests),
-            message_memory: ResourceLimit::new(message_bytes),
+            held_requests: ResourceLimit::new(capacity.max_requests),
+            message_memory: ResourceLimit::new(capacity.message_bytes),
+            read_ahead: ResourceLimit::new(capacity.read_ahead_bytes),
             long_message_memory: Arc::new(Semaphore::new(max_long_message)),
             max_long_message,
         }
@@ -58,6 +72,12 @@
         self.held_requests.acquire().ok_or(RejectionCause::HeldRequests)
     }
 
+    /// Reserves memory for the answer of a request that is submitted behind an unanswered one; `None` if too little is
+    /// free, so that the request must wait for its turn.
+    pub fn reserve_read_ahead(&self) -> Option<ResourcePermit> {
+        self.read_ahead.acquire_weighted(MAX_RESPONSE_BYTES)
+    }
+
     /// The limit on the memory that ordinary messages share, in bytes.
     pub fn message_memory(&self) -> ResourceLimit {
         self.message_memory.clone()
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -7,14 +7,16 @@
 pub mod driver;
 mod member_directory;
 pub mod request_intake;
+pub mod response_channel;
 pub mod response_delivery;
 
 use crate::api::{AttemptEnd, LoadReport, MemberId, Micros, Outcome, Request, RequestId};
 use crate::discovery::list::ListEvent;
 use crate::request::Payload;
-use crate::upstream::response::{MemberResponse, StreamingResponse};
+use crate::upstream::response::{MemberResponse, STREAM_MEMORY_BYTES, StreamingResponse};
 use bytes::Bytes;
 use linenhill_decisions::disruption::HealthObservation;
+use response_channel::ResponseSender;
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -35,6 +37,17 @@
     Failed,
 }
 
+impl FinalResponse {
+    /// The memory of a member's answer that the response holds, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        match self {
+            FinalResponse::Served(raw) => raw.len(),
+            FinalResponse::Streaming(_) => STREAM_MEMORY_BYTES,
+            FinalResponse::Rejected { .. } | FinalResponse::Failed => 0,
+        }
+    }
+}
+
 /// A request that was accepted from a client and admitted.
 pub struct AcceptedRequest {
     /// The request in the form that the router takes.
@@ -44,7 +57,7 @@
     /// The time by which the client must have the final answer.
     pub deadline: Instant,
     /// Receives the final answer.
-    pub reply: oneshot::Sender<FinalResponse>,
+    pub reply: ResponseSender,
 }
 
 /// Numbers of members, for the metrics.
--- a/src/stages/response_delivery.rs
+++ b/src/stages/response_delivery.rs
@@ -2,14 +2,14 @@
 //! request is removed once its client has disconnected.
 
 use super::FinalResponse;
+use super::response_channel::ResponseSender;
 use crate::api::RequestId;
 use std::collections::{BTreeMap, BTreeSet};
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// The recipient of a response, and the time by which it is due.
 struct OpenRequest {
-    reply: oneshot::Sender<FinalResponse>,
+    reply: ResponseSender,
     due: Instant,
 }
 
@@ -23,7 +23,7 @@
 
 impl ResponseDelivery {
     /// Registers a request whose response is due at `due`.
-    pub fn register(&mut self, id: RequestId, reply: oneshot::Sender<FinalResponse>, due: Instant) {
+    pub fn register(&mut self, id: RequestId, reply: ResponseSender, due: Instant) {
         self.open.insert(id, OpenRequest { reply, due });
         self.due.insert((due, id));
     }
@@ -51,7 +51,7 @@
         self.close(id).is_some()
     }
 
-    fn close(&mut self, id: &RequestId) -> Option<oneshot::Sender<FinalResponse>> {
+    fn close(&mut self, id: &RequestId) -> Option<ResponseSender> {
         let OpenRequest { reply, due } = self.open.remove(id)?;
         self.due.remove(&(due, *id));
         Some(reply)
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -12,7 +12,7 @@
 use crate::upstream::exchange::{Exchange, ExchangeProgress, ExchangeReply};
 use crate::upstream::pool::Pool;
 use crate::upstream::reply::StatementReply;
-use crate::upstream::response::{MemberResponse, ResponseChunk, StreamingResponse};
+use crate::upstream::response::{MemberResponse, ResponseChunk, STREAM_WINDOW_CHUNKS, StreamingResponse};
 use crate::upstream::send_guard::{Purpose, SendIntent};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -20,9 +20,6 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Capacity of the channel that buffers a long answer for its client.
-const STREAM_WINDOW_CHUNKS: usize = 4;
-
 /// Time limit for forwarding a long answer, so that a slow member or client can't occupy the connection indefinitely.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -113,13 +110,13 @@
 /// forwards the rest.
 fn outcome_from_reply(pool: &Pool, member: MemberId, exchange_reply: ExchangeReply) -> AttemptOutcome {
     let ExchangeReply { reply, streaming_connection } = exchange_reply;
-    let StatementReply { outcome, raw, position, role, report, .. } = reply;
+    let StatementReply { outcome, raw, position, role, report, memory, .. } = reply;
     let response = (outcome == Outcome::Ok).then(|| match streaming_connection {
         None => MemberResponse::Complete(raw),
         Some(connection) => {
             let (chunks, rest) = mpsc::channel(STREAM_WINDOW_CHUNKS);
             tokio::task::spawn_local(forward_rest(pool.clone(), member, connection, chunks));
-            MemberResponse::Streaming(StreamingResponse { first: raw, rest })
+            MemberResponse::Streaming(StreamingResponse { first: raw, rest, memory })
         }
     });
     AttemptOutcome { outcome, response, position, role, report }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -8,10 +8,12 @@
 use crate::close_reason::{CloseReason, Side, log_close};
 use crate::fleet::quota::QuotaUnit;
 use crate::pg::PgError;
-use crate::pg::backend::{BackendCodec, BackendMessage, Command};
+use crate::pg::backend::{BackendCodec, BackendMessage, Command, INITIAL_BUFFER_BYTES};
 use crate::resource_limit::ResourcePermit;
+use crate::response_memory::ResponseMemory;
 use crate::socket_state::{PendingInput, pending_input};
 use crate::upstream::reply::{ReplyAssembler, ReplyProgress, StatementReply, outcome_of};
+use crate::upstream::response::STREAM_MEMORY_BYTES;
 use crate::upstream::send_guard::SendPermit;
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -32,8 +34,6 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Capacity beyond which an empty buffer is replaced after a reply.
 const MAX_KEPT_BUFFER_BYTES: usize = 32 * 1024;
-/// Capacity of a new buffer; the default of [`Framed`].
-const INITIAL_BUFFER_BYTES: usize = 8 * 1024;
 
 /// An open connection. Dropping it closes the socket, logs the close reason, and returns the descriptor and the quota.
 pub struct MemberConnection {
@@ -201,17 +201,22 @@
     }
 
     /// Reads the reply to the written statement, up to `ReadyForQuery` or to the head of a row with a long value, whose
-    /// rest [`Self::next_chunk`] reads. After an unexpected message the outcome is [`Outcome::MalformedReply`], and
+    /// rest [`Self::next_chunk`] reads. A row is read once `memory` has room for it. After an unexpected message the outcome is [`Outcome::MalformedReply`], and
     /// [`Outcome::Reset`] after a failure of the connection: the statement may have run, and the connection must be
     /// closed.
-    pub async fn read_reply(&mut self) -> StatementReply {
+    pub async fn read_reply(&mut self, memory: &ResponseMemory) -> StatementReply {
         let mut assembler = ReplyAssembler::new();
         let mut is_reusable = false;
         let outcome = loop {
             let message = self.next_message(assembler.has_begun()).await;
             match assembler.push(message) {
                 ReplyProgress::Incomplete => {}
-                ReplyProgress::Streaming => return assembler.finish(Outcome::Ok),
+                ReplyProgress::RowFollows(bytes) => {
+                    assembler.hold_memory(memory.acquire(bytes).await, bytes);
+                }
+                ReplyProgress::Streaming => {
+                    return assembler.finish_streaming(memory.acquire(STREAM_MEMORY_BYTES).await);
+                }
                 ReplyProgress::Complete(outcome) => {
                     // The reply is valid even if further input follows it, but the connection is not reused then.
                     is_reusable = self.check_usable();
--- a/src/upstream/exchange.rs
+++ b/src/upstream/exchange.rs
@@ -95,7 +95,7 @@
     /// Reads the reply. The connection is returned to the pool if it can carry another statement, handed over with the
     /// beginning of a long answer, and closed otherwise.
     async fn read_reply(&self, mut connection: MemberConnection) -> ExchangeReply {
-        let reply = connection.read_reply().await;
+        let reply = connection.read_reply(self.pool.response_memory()).await;
         if reply.is_streaming {
             return ExchangeReply { reply, streaming_connection: Some(connection) };
         }
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -10,6 +10,7 @@
 use crate::counters::Counters;
 use crate::fleet::quota::{FleetQuota, QuotaUnit};
 use crate::resource_limit::{ResourceLimit, ResourcePermit};
+use crate::response_memory::ResponseMemory;
 use crate::upstream::connection::MemberConnection;
 use crate::upstream::send_eligibility::SendEligibility;
 use crate::upstream::send_guard::{SendGuard, SendIntent, SendPermit};
@@ -50,11 +51,24 @@
     name: String,
 }
 
+/// The limits of a pool.
+pub struct PoolLimits {
+    /// The most connections, each of which takes a descriptor.
+    pub max_connections: usize,
+    /// The memory of replies that are being read or wait for their clients, in bytes.
+    pub response_bytes: usize,
+    /// The time after which members close idle connections.
+    pub idle_close: Duration,
+    /// The maximum time for opening a connection, including its session.
+    pub connect_timeout: Duration,
+}
+
 struct Inner {
     /// Every member in this table is also in `eligibility`.
     slots: RefCell<BTreeMap<MemberId, MemberSlot>>,
     eligibility: SendEligibility,
     descriptors: ResourceLimit,
+    response_memory: ResponseMemory,
     /// The idle time after which a connection is retired.
     retire_after: Duration,
     connect_timeout: Duration,
@@ -68,32 +82,33 @@
 pub struct Pool(Rc<Inner>);
 
 impl Pool {
-    /// Creates a pool of at most `max_connections`, without a quota and a list lease, for members that close idle
-    /// connections after `idle_close`.
-    pub fn new(
-        max_connections: usize, idle_close: Duration, connect_timeout: Duration, counters: Rc<Counters>,
-    ) -> Pool {
-        let guard = SendGuard::without_list();
-        Pool::with_quota(max_connections, idle_close, connect_timeout, counters, FleetQuota::default(), guard)
+    /// Creates a pool without a quota and a list lease.
+    pub fn new(limits: PoolLimits, counters: Rc<Counters>) -> Pool {
+        Pool::with_quota(limits, counters, FleetQuota::default(), SendGuard::without_list())
     }
 
     /// Like [`Pool::new`], limited by this proxy's quota of the fleet's budgets, and with `guard` for all sends.
     pub fn with_quota(
-        max_connections: usize, idle_close: Duration, connect_timeout: Duration, counters: Rc<Counters>,
-        quota: FleetQuota, guard: SendGuard,
+        limits: PoolLimits, counters: Rc<Counters>, quota: FleetQuota, guard: SendGuard,
     ) -> Pool {
         Pool(Rc::new(Inner {
             slots: RefCell::default(),
             eligibility: SendEligibility::default(),
-            descriptors: ResourceLimit::new(max_connections),
-            retire_after: idle_close.mul_f64(RETIRE_FRACTION),
-            connect_timeout,
+            descriptors: ResourceLimit::new(limits.max_connections),
+            response_memory: ResponseMemory::new(limits.response_bytes, counters.clone()),
+            retire_after: limits.idle_close.mul_f64(RETIRE_FRACTION),
+            connect_timeout: limits.connect_timeout,
             counters,
             quota,
             guard,
         }))
     }
 
+    /// The memory that the replies of all members share.
+    pub fn response_memory(&self) -> &ResponseMemory {
+        &self.0.response_memory
+    }
+
     /// Sets the address of a member, and adds the member if it is new. Idle connections to a previous address are
     /// closed.
     pub fn set_address(&self, member: MemberId, address: SocketAddr) {
--- a/src/upstream/reply.rs
+++ b/src/upstream/reply.rs
@@ -8,6 +8,7 @@
 use crate::close_reason::CloseReason;
 use crate::pg::PgError;
 use crate::pg::backend::BackendMessage;
+use crate::response_memory::ResponsePermit;
 use crate::upstream::report;
 use bytes::{Bytes, BytesMut};
 
@@ -17,6 +18,10 @@
 const BEHIND_POSITION: &[u8] = b"72000";
 /// SQLSTATE `too_many_connections`.
 const TOO_MANY_CONNECTIONS: &[u8] = b"53300";
+/// The longest value that is kept apart from its message: longer than any load report.
+const MAX_COLUMN_BYTES: usize = 1024;
+/// Memory for the completion behind a row.
+const COMPLETION_BYTES: usize = 64;
 /// SQLSTATE `cannot_connect_now`.
 const CANNOT_CONNECT_NOW: &[u8] = b"57P03";
 
@@ -26,7 +31,8 @@
     pub outcome: Outcome,
     /// Description, row and completion as the member sent them; empty unless the outcome is [`Outcome::Ok`].
     pub raw: Bytes,
-    /// The value of the single column; `None` if no row was read or the value follows in chunks.
+    /// The value of the single column, if it is at most 1 KiB long. A longer one is in `raw` only, so that
+    /// it is not held twice.
     pub column: Option<Bytes>,
     /// The member's replication position, or the commit position of a write.
     pub position: Option<LogPosition>,
@@ -38,6 +44,8 @@
     pub is_reusable: bool,
     /// Whether only the beginning of a long answer was read; the rest follows in chunks.
     pub is_streaming: bool,
+    /// The memory of the chunks of a long answer. That of a complete answer is attached to `raw`.
+    pub memory: Option<ResponsePermit>,
 }
 
 impl StatementReply {
@@ -52,6 +60,7 @@
             report: LoadReport::default(),
             is_reusable: false,
             is_streaming: false,
+            memory: None,
         }
     }
 
@@ -85,6 +94,8 @@
 pub(super) enum ReplyProgress {
     /// More messages follow.
     Incomplete,
+    /// A row follows that takes this many bytes of memory, together with the rest of the reply.
+    RowFollows(usize),
     /// The row has a long value, which follows in chunks.
     Streaming,
     /// The reply is complete, and the member is ready.
@@ -95,6 +106,7 @@
 
 /// Assembles a reply from its messages.
 pub(super) struct ReplyAssembler {
+    memory: Option<ResponsePermit>,
     expected: ExpectedMessage,
     raw: BytesMut,
     reply: StatementReply,
@@ -103,7 +115,7 @@
 impl ReplyAssembler {
     pub(super) fn new() -> ReplyAssembler {
         let expected = ExpectedMessage::Description;
-        ReplyAssembler { expected, raw: BytesMut::new(), reply: StatementReply::empty() }
+        ReplyAssembler { expected, raw: BytesMut::new(), reply: StatementReply::empty(), memory: None }
     }
 
     /// Whether a message of the reply itself, other than a parameter or a notice, has arrived.
@@ -126,9 +138,12 @@
                 self.expected = ExpectedMessage::Row;
                 self.raw.extend_from_slice(&bytes);
             }
+            (ExpectedMessage::Row, BackendMessage::RowAnnounced(length)) => {
+                return ReplyProgress::RowFollows(self.raw.len() + 1 + length + COMPLETION_BYTES);
+            }
             (ExpectedMessage::Row, BackendMessage::DataRow { raw: bytes, value }) => {
                 self.expected = ExpectedMessage::Completion;
-                self.reply.column = Some(value);
+                self.reply.column = Some(value).filter(|value| value.len() <= MAX_COLUMN_BYTES);
                 self.raw.extend_from_slice(&bytes);
             }
             (ExpectedMessage::Row, BackendMessage::LongRowHead(bytes)) => {
@@ -159,14 +174,28 @@
         ReplyProgress::Incomplete
     }
 
+    /// Holds the memory of the reply, which is about to be read.
+    pub(super) fn hold_memory(&mut self, memory: ResponsePermit, bytes: usize) {
+        self.memory = Some(memory);
+        self.raw.reserve(bytes.saturating_sub(self.raw.len()));
+    }
+
     /// Finishes the reply with its outcome. `raw` is filled only if the outcome is [`Outcome::Ok`].
     pub(super) fn finish(mut self, outcome: Outcome) -> StatementReply {
         self.reply.outcome = outcome;
         if outcome == Outcome::Ok {
-            self.reply.raw = self.raw.freeze();
+            self.reply.raw = match self.memory {
+                Some(memory) => memory.attach_to(self.raw),
+                None => self.raw.freeze(),
+            };
         }
         self.reply
     }
+
+    /// Finishes a reply whose long value follows in chunks, which share `memory`.
+    pub(super) fn finish_streaming(self, memory: ResponsePermit) -> StatementReply {
+        StatementReply { memory: Some(memory), ..self.finish(Outcome::Ok) }
+    }
 }
 
 /// Maps the SQLSTATE of an error to an outcome.
--- a/tests/components/main.rs
+++ b/tests/components/main.rs
@@ -13,6 +13,7 @@
 mod maintenance_log;
 mod member_connection;
 mod request_driver;
+mod response_memory;
 mod session_fixture;
 
 /// Encodes a message of the PostgreSQL protocol: type, length, body.
--- a/tests/components/member_connection.rs
+++ b/tests/components/member_connection.rs
@@ -3,12 +3,12 @@
 use crate::{peer, typed_message};
 use bytes::Bytes;
 use linenhill::api::{LogPosition, MemberId, Outcome, RequestId};
-use linenhill::counters::Counters;
 use linenhill::request::Payload;
 use linenhill::resource_limit::ResourceLimit;
+use linenhill::response_memory::ResponseMemory;
 use linenhill::upstream::attempt::{self, AttemptRequest};
 use linenhill::upstream::connection::MemberConnection;
-use linenhill::upstream::pool::Pool;
+use linenhill::upstream::pool::{Pool, PoolLimits};
 use linenhill::upstream::send_guard::{Purpose, SendIntent, SendPermit};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
@@ -21,6 +21,8 @@
 use tokio::time::Instant;
 
 const MEMBER: MemberId = MemberId(1);
+/// More memory than any reply of these tests takes.
+pub const RESPONSE_BYTES: usize = 1 << 20;
 /// A time limit that no step reaches.
 const LONG_TIMEOUT: Duration = Duration::from_secs(60);
 /// Longer than the pool waits before it reuses a connection.
@@ -33,7 +35,13 @@
 
 /// Creates a pool of at most `descriptors` connections, for a member that closes idle connections after `idle_close`.
 fn new_pool(descriptors: usize, idle_close: Duration, address: SocketAddr) -> Pool {
-    let pool = Pool::new(descriptors, idle_close, LONG_TIMEOUT, Rc::new(Counters::default()));
+    let limits = PoolLimits {
+        max_connections: descriptors,
+        response_bytes: RESPONSE_BYTES,
+        idle_close,
+        connect_timeout: LONG_TIMEOUT,
+    };
+    let pool = Pool::new(limits, Rc::default());
     pool.set_address(MEMBER, address);
     pool
 }
@@ -198,32 +206,46 @@
 const MALFORMED: ReadReply =
     ReadReply { outcome: Outcome::MalformedReply, position: None, is_reusable: false };
 
-/// Returns the reply that a connection reads when a member answers a statement with `bytes` and keeps the connection
-/// open.
-async fn reply_to(bytes: Vec<u8>) -> ReadReply {
+/// A connection whose member has answered a statement, and keeps its end open.
+pub struct AnsweredConnection {
+    pub connection: MemberConnection,
+    _member_stream: TcpStream,
+}
+
+/// Opens a connection, writes a statement, and answers it with a row of this value.
+pub async fn answered_connection(value: &[u8]) -> AnsweredConnection {
+    let length = (value.len() as u32).to_be_bytes();
+    let row = typed_message(b'D', &[b"\0\x01", &length[..], value].concat());
+    connection_answered_with(&ReplyMessages::new().with_row(&row)).await
+}
+
+/// Opens a connection, writes a statement, and answers it with `bytes`.
+async fn connection_answered_with(bytes: &[u8]) -> AnsweredConnection {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind listener");
     let address = listener.local_addr().expect("local address");
+    let descriptor = ResourceLimit::new(1).acquire().expect("free descriptor");
     let member = async {
-        let (mut stream, _) = listener.accept().await.expect("accept connection");
-        let mut received = [0; 256];
-        assert!(stream.read(&mut received).await.expect("read startup message") > 0);
+        let mut stream = accept_startup(&listener).await;
         stream.write_all(&startup_answer()).await.expect("write");
-        assert!(stream.read(&mut received).await.expect("read statement") > 0);
-        stream.write_all(&bytes).await.expect("write");
-        while stream.read(&mut received).await.is_ok_and(|length| length > 0) {}
+        stream
     };
-    let proxy = async {
-        let descriptor = ResourceLimit::new(1).acquire().expect("free descriptor");
-        let Ok(mut connection) = MemberConnection::open(address, descriptor, LONG_TIMEOUT).await else {
-            panic!("connection was not opened")
-        };
-        let permit = permit_for_test().await;
-        connection.write_statement(permit, b"SELECT 1".as_slice().into(), Bytes::new()).await.expect("write");
-        let reply = connection.read_reply().await;
-        ReadReply { outcome: reply.outcome, position: reply.report.position, is_reusable: reply.is_reusable }
-    };
-    let (reply, ()) = tokio::join!(proxy, member);
-    reply
+    let (opened, mut member_stream) =
+        tokio::join!(MemberConnection::open(address, descriptor, LONG_TIMEOUT), member);
+    let Ok(mut connection) = opened else { panic!("connection was not opened") };
+    let permit = permit_for_test().await;
+    connection.write_statement(permit, b"SELECT 1".as_slice().into(), Bytes::new()).await.expect("write");
+    assert!(member_stream.read(&mut [0; 256]).await.expect("read statement") > 0);
+    member_stream.write_all(bytes).await.expect("write");
+    AnsweredConnection { connection, _member_stream: member_stream }
+}
+
+/// Returns the reply that a connection reads when a member answers a statement with `bytes` and keeps the connection
+/// open.
+async fn reply_to(bytes: Vec<u8>) -> ReadReply {
+    let mut answered = connection_answered_with(&bytes).await;
+    let memory = ResponseMemory::new(RESPONSE_BYTES, Rc::default());
+    let reply = answered.connection.read_reply(&memory).await;
+    ReadReply { outcome: reply.outcome, position: reply.report.position, is_reusable: reply.is_reusable }
 }
 
 /// The messages of a reply with one row of one column.
--- a/tests/components/request_driver.rs
+++ b/tests/components/request_driver.rs
@@ -10,12 +10,13 @@
 use linenhill::stages::accounting::RequestAccounting;
 use linenhill::stages::dispatch::Dispatcher;
 use linenhill::stages::driver::{Driver, DriverParts};
+use linenhill::stages::response_channel::response_channel;
 use linenhill::stages::response_delivery::ResponseDelivery;
 use linenhill::stages::{DriverInput, FinalResponse};
-use linenhill::upstream::pool::Pool;
+use linenhill::upstream::pool::{Pool, PoolLimits};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
 
@@ -25,7 +26,13 @@
 fn new_driver() -> (Driver, Pool, mpsc::UnboundedSender<DriverInput>) {
     let config = example_config();
     let counters = Rc::new(Counters::default());
-    let pool = Pool::new(9, SECOND, SECOND, counters.clone());
+    let limits = PoolLimits {
+        max_connections: 9,
+        response_bytes: 1 << 20,
+        idle_close: SECOND,
+        connect_timeout: SECOND,
+    };
+    let pool = Pool::new(limits, counters.clone());
     let (inbox, events) = mpsc::unbounded_channel();
     let clock = Clock::start();
     let accounting = RequestAccounting::new(counters, new_metrics());
@@ -94,7 +101,7 @@
     let due = Instant::now() + Duration::from_secs(600);
     let ids = [RequestId([1; 36]), RequestId([2; 36])];
     let replies = ids.map(|id| {
-        let (reply, answer) = oneshot::channel();
+        let (reply, answer) = response_channel(None);
         responses.register(id, reply, due);
         answer
     });
--- a/tests/components/session_fixture.rs
+++ b/tests/components/session_fixture.rs
@@ -14,7 +14,7 @@
 use linenhill::lifecycle::ServingState;
 use linenhill::metrics::Metrics;
 use linenhill::stages::accounting::RequestAccounting;
-use linenhill::stages::admission::RequestAdmission;
+use linenhill::stages::admission::{AdmissionCapacity, RequestAdmission};
 use linenhill::stages::request_intake::RequestIntake;
 use linenhill::stages::{AcceptedRequest, DriverInput, FinalResponse};
 use linenhill::upstream::send_guard::SendGuard;
@@ -78,10 +78,20 @@
 
 /// Creates a gateway; returns it with its events.
 pub fn new_gateway() -> (Rc<RequestGateway>, Events) {
+    new_gateway_with_read_ahead(1 << 20)
+}
+
+/// Creates a gateway with this memory for answers that wait behind unanswered requests; returns it with its events.
+pub fn new_gateway_with_read_ahead(read_ahead_bytes: usize) -> (Rc<RequestGateway>, Events) {
     let (inbox, events) = mpsc::unbounded_channel();
     let intake = RequestIntake::new(&example_config().site, Clock::start());
     let accounting = RequestAccounting::new(Rc::new(Counters::default()), new_metrics());
-    let admission = RequestAdmission::new(9, MESSAGE_MEMORY_BYTES, 1 << 20);
+    let admission = RequestAdmission::new(AdmissionCapacity {
+        max_requests: 9,
+        message_bytes: MESSAGE_MEMORY_BYTES,
+        long_message_bytes: 1 << 20,
+        read_ahead_bytes,
+    });
     let guard = SendGuard::without_list();
     (Rc::new(RequestGateway::new(intake, admission, accounting, inbox, guard)), events)
 }
@@ -124,10 +134,8 @@
 
 /// Answers an accepted request with `bytes`; the session must still be waiting for the answer.
 pub fn serve(accepted: AcceptedRequest, bytes: &'static str) {
-    accepted
-        .reply
-        .send(FinalResponse::Served(bytes.as_bytes().into()))
-        .expect("session waits for the answer");
+    let is_awaited = accepted.reply.send(FinalResponse::Served(bytes.as_bytes().into()));
+    assert!(is_awaited, "the session waits for the answer");
 }
 
 pub async fn write(client: &mut DuplexStream, bytes: &[u8]) {
--- a/tests/harness/program.rs
+++ b/tests/harness/program.rs
@@ -40,6 +40,14 @@
             .expect("an address at the end of the log line")
     }
 
+    /// A size in KiB from the status of the process, such as `RssAnon`.
+    pub fn memory_kib(&self, field: &str) -> u64 {
+        let path = format!("/proc/{}/status", self.child.borrow().id());
+        let status = std::fs::read_to_string(path).expect("read the status of the process");
+        let line = status.lines().find(|line| line.starts_with(field)).expect("a line of the status");
+        line.split_whitespace().nth(1).and_then(|size| size.parse().ok()).expect("a size in KiB")
+    }
+
     /// Sends a signal, given as an argument of `kill`, for example `-TERM`.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.borrow().id().to_string()]).status();
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -116,7 +116,8 @@
 #[test]
 fn streams_of_clients_members_and_discovery() {
     assert_eq!(decode_all(FrontendCodec::default(), &[&client_stream()]).0.len(), 6);
-    assert_eq!(decode_all(BackendCodec::default(), &[&member_stream()]).0.len(), 8);
+    // Eight messages, and the announcement of the row.
+    assert_eq!(decode_all(BackendCodec::default(), &[&member_stream()]).0.len(), 9);
     assert!(decode_all(WatchCodec::default(), &[&discovery_stream()]).0.len() > 4);
     check_parser(1, &client_stream(), |parts| decode_all(FrontendCodec::default(), parts));
     check_parser(2, &member_stream(), |parts| decode_all(BackendCodec::default(), parts));
--- a/tests/send_guard.rs
+++ b/tests/send_guard.rs
@@ -3,11 +3,10 @@
 
 use linenhill::api::{Discovery, MemberId, Micros, RequestId};
 use linenhill::clock::Clock;
-use linenhill::counters::Counters;
 use linenhill::fleet::quota::FleetQuota;
 use linenhill::list_lease::{ListLease, ListUnusable};
 use linenhill::metrics::Metrics;
-use linenhill::upstream::pool::Pool;
+use linenhill::upstream::pool::{Pool, PoolLimits};
 use linenhill::upstream::send_guard::{Purpose, SendGuard, SendIntent};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,8 +22,9 @@
     let lease = ListLease::new(clock.now(), Discovery::OnRequest, DRAIN_GRACE);
     let guard = SendGuard::new(lease, 7, clock, metrics.invariants());
     let long = Duration::from_secs(60);
-    let counters = Rc::new(Counters::default());
-    let pool = Pool::with_quota(1, long, long, counters, FleetQuota::default(), guard.clone());
+    let limits =
+        PoolLimits { max_connections: 1, response_bytes: 1 << 20, idle_close: long, connect_timeout: long };
+    let pool = Pool::with_quota(limits, Rc::default(), FleetQuota::default(), guard.clone());
     pool.set_address(MEMBER, "127.0.0.1:1".parse().expect("a valid address"));
     (guard, pool)
 }
