Use a member's connection again only once it has answered an empty query

Cause: a reply has no mark of its statement, and the pool took a connection for clean if nothing had arrived 2 ms after the reply. The member's system holds a small second write back until the first is acknowledged, which the proxy's system does with the next statement; no pause is long enough.

Change: after each reply an empty query is sent, which members answer at once and without an effect. A connection is handed out once EmptyQueryResponse and ReadyForQuery have arrived and nothing else: bytes keep their order, so what the member wrote before it read the query comes first, and no statement is answered like that. The pause is gone. A connection to a member that accepts no statements is closed, so that nothing is sent to it.

--- a/crates/standins/src/soak/member.rs
+++ b/crates/standins/src/soak/member.rs
@@ -121,6 +121,10 @@
         wire::write(&mut stream, &wire::startup_response()).await?;
         loop {
             let statement = wire::read_query(&mut stream).await?;
+            if statement.is_empty() {
+                wire::write(&mut stream, &wire::empty_query_response()).await?;
+                continue;
+            }
             let Some(id) = wire::comment_field(&statement, "id").map(str::to_string) else {
                 let answer = wire::row_response(&self.health_report(), self.is_primary, unix_ms());
                 wire::write(&mut stream, &answer).await?;
--- a/crates/standins/src/soak/wire.rs
+++ b/crates/standins/src/soak/wire.rs
@@ -46,6 +46,11 @@
     [message(b'R', &[0; 4]), READY_FOR_QUERY.to_vec()].concat()
 }
 
+/// Encodes the answer to an empty query, including ReadyForQuery.
+pub fn empty_query_response() -> Vec<u8> {
+    [&message(b'I', b""), READY_FOR_QUERY].concat()
+}
+
 fn status_parameters(is_primary: bool, position_ms: u64) -> Vec<u8> {
     let recovery = if is_primary { "off" } else { "on" };
     let report = format!("x0={}.{:03},x1={}", position_ms / 1_000, position_ms % 1_000, u8::from(is_primary));
--- a/examples/toy/peer.rs
+++ b/examples/toy/peer.rs
@@ -89,6 +89,7 @@
         let mut answers = Vec::new();
         match received {
             FrontendMessage::Startup => answers.push(Reply::SessionOpened),
+            FrontendMessage::Query(sql) if sql.is_empty() => answers.push(Reply::EmptyQueryResponse),
             FrontendMessage::Query(sql) => {
                 let sql = String::from_utf8_lossy(&sql).into_owned();
                 let now = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_millis() as u64;
--- a/src/pg/backend.rs
+++ b/src/pg/backend.rs
@@ -41,6 +41,8 @@
     CommandComplete(Bytes),
     /// An error, with its SQLSTATE.
     ErrorResponse(Bytes),
+    /// The answer to an empty query, before [`BackendMessage::ReadyForQuery`].
+    EmptyQueryResponse,
     /// The member is ready for the next statement, and no transaction is open.
     ReadyForQuery,
     /// A message that is not used, such as a notice, a notification or key data, or a malformed parameter.
@@ -190,7 +192,8 @@
         b'C' => check_completion(body).map(|()| BackendMessage::CommandComplete(raw)),
         b'E' => decode_sqlstate(body).map(BackendMessage::ErrorResponse),
         b'Z' => check_readiness(&body).map(|()| BackendMessage::ReadyForQuery),
-        b'N' | b'K' | b'I' | b'A' | b'v' => Ok(BackendMessage::Ignored),
+        b'I' => Ok(BackendMessage::EmptyQueryResponse),
+        b'N' | b'K' | b'A' | b'v' => Ok(BackendMessage::Ignored),
         _ => Err(PgError::MessageType(message_type)),
     }
 }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -1,8 +1,8 @@
 //! One connection to a member, which carries one statement at a time: opens the session, writes a statement, reads the
 //! reply, and yields the rest of a long answer in chunks.
 //!
-//! Input that arrives before the statement must never be read as part of the reply, and a connection with outstanding
-//! input must never be reported as reusable. The close is logged once, with the reason set last.
+//! Input that arrives before the statement, or belongs to an earlier one, must never be read as part of the reply, and a
+//! connection with outstanding input must never be reported as reusable. The close is logged once, with the reason set last.
 
 use crate::api::Outcome;
 use crate::close_reason::{CloseReason, Side, log_close};
@@ -15,6 +15,7 @@
 use crate::upstream::reply::{ReplyAssembler, ReplyProgress, StatementReply, outcome_of};
 use crate::upstream::response::STREAM_MEMORY_BYTES;
 use crate::upstream::send_guard::SendPermit;
+use crate::upstream::sync_check::{SyncCheck, SyncProgress, SyncState};
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use std::cell::Cell;
@@ -39,6 +40,7 @@
 pub struct MemberConnection {
     framed: Framed<TcpStream, BackendCodec>,
     address: SocketAddr,
+    sync: SyncState,
     close_reason: Rc<Cell<CloseReason>>,
     /// Held for its drop, which returns the descriptor.
     _descriptor: ResourcePermit,
@@ -101,6 +103,7 @@
         let mut connection = MemberConnection {
             framed: Framed::new(stream, BackendCodec::default()),
             address,
+            sync: SyncState::default(),
             close_reason: Rc::new(Cell::new(CloseReason::ConnectTimeout)),
             _descriptor: descriptor,
             _quota: QuotaUnit::default(),
@@ -148,6 +151,30 @@
         self.close_reason.clone()
     }
 
+    /// Writes the empty query whose answer shows that nothing else is outstanding, unless no statement was written since
+    /// the last one. Returns whether the connection can be kept.
+    pub fn begin_sync_check(&mut self) -> bool {
+        if matches!(self.sync, SyncState::Unknown) {
+            let Some(check) = SyncCheck::begin(self.framed.get_ref()) else { return false };
+            self.sync = SyncState::Checking(check);
+        }
+        true
+    }
+
+    /// Looks for the answer to the empty query in the input that has arrived. No statement may be written before the
+    /// connection is synchronized.
+    pub fn sync_progress(&mut self) -> SyncProgress {
+        let progress = match &mut self.sync {
+            SyncState::Synchronized => SyncProgress::Synchronized,
+            SyncState::Unknown => SyncProgress::Failed(CloseReason::Protocol),
+            SyncState::Checking(check) => check.progress(self.framed.get_ref()),
+        };
+        if progress == SyncProgress::Synchronized {
+            self.sync = SyncState::Synchronized;
+        }
+        progress
+    }
+
     /// The reason why the connection can't carry a statement; `None` if it is open without unread input. May consume a
     /// byte of unexpected input, so a connection with a reason must be closed.
     pub fn unusable_reason(&self) -> Option<CloseReason> {
@@ -180,6 +207,7 @@
         &mut self, permit: SendPermit, head: Bytes, tail: Bytes,
     ) -> Result<(), Outcome> {
         permit.check_at_write();
+        self.sync = SyncState::Unknown;
         let result = if tail.is_empty() {
             self.framed.send(Command::Query(head)).await
         } else {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -11,3 +11,4 @@
 pub mod response;
 pub mod send_eligibility;
 pub mod send_guard;
+pub mod sync_check;
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -2,8 +2,8 @@
 //!
 //! The most recently used connection is reused first, so that surplus connections age and are retired well before the
 //! member closes them. All members share one limit of descriptors; the connections to each member are also bounded by
-//! this proxy's quota of the fleet's budgets. The pool must never hand out a connection that is too old, has pending
-//! input, or exceeds the quota.
+//! this proxy's quota of the fleet's budgets. The pool must never hand out a connection that is too old, may have
+//! outstanding input of an earlier statement, or exceeds the quota.
 
 use crate::api::{MemberId, Time};
 use crate::close_reason::CloseReason;
@@ -14,6 +14,7 @@
 use crate::upstream::connection::MemberConnection;
 use crate::upstream::send_eligibility::SendEligibility;
 use crate::upstream::send_guard::{SendGuard, SendIntent, SendPermit};
+use crate::upstream::sync_check::SyncProgress;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,13 +24,10 @@
 
 /// Fraction of the idle timeout of members after which idle connections are retired.
 const RETIRE_FRACTION: f64 = 0.6;
-/// Minimum time between a reply and the reuse of its connection. Excess bytes that arrive within this time are detected
-/// before the reuse; after it they would be read as part of the next reply.
-const SETTLE_TIME: Duration = Duration::from_millis(2);
 /// Interval at which idle connections are checked for their age and usability.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A connection without a statement in progress.
+/// A connection without a statement in progress. It is handed out once it is synchronized.
 struct IdleConnection {
     connection: MemberConnection,
     idle_since: Instant,
@@ -229,11 +227,11 @@
         self.0.connect_timeout
     }
 
-    /// Takes the most recently used idle connection that was put back at least `SETTLE_TIME` ago. Connections that
-    /// are over the quota, too old or unusable are closed and skipped.
+    /// Takes the most recently used idle connection that is synchronized. Connections that are over the quota, too old or
+    /// unusable are closed and skipped; those whose synchronization is being checked are skipped.
     pub fn checkout(&self, member: MemberId) -> Option<MemberConnection> {
         loop {
-            let IdleConnection { connection, idle_since } = self.take_last_settled(member)?;
+            let IdleConnection { connection, idle_since } = self.take_last_synchronized(member)?;
             let close_reason = if self.is_over_quota(member) {
                 // The quota shrank or its lease expired, possibly during a hold-up of this process.
                 Some(CloseReason::Released)
@@ -249,11 +247,15 @@
         }
     }
 
-    fn take_last_settled(&self, member: MemberId) -> Option<IdleConnection> {
-        let mut slots = self.0.slots.borrow_mut();
-        let idle = &mut slots.get_mut(&member)?.idle;
-        let settled = idle.iter().rposition(|candidate| candidate.idle_since.elapsed() >= SETTLE_TIME)?;
-        Some(idle.remove(settled))
+    fn take_last_synchronized(&self, member: MemberId) -> Option<IdleConnection> {
+        let mut closing = Vec::new();
+        let taken = {
+            let mut slots = self.0.slots.borrow_mut();
+            let idle = &mut slots.get_mut(&member)?.idle;
+            remove_last_synchronized(idle, &mut closing)
+        };
+        closing.into_iter().for_each(|(idle, reason): (IdleConnection, CloseReason)| idle.close(reason));
+        taken
     }
 
     /// Whether the open connections to a member exceed this proxy's quota.
@@ -261,12 +263,12 @@
         self.with_budget_name(member, |quota, name| Some(quota.excess_connections(name) > 0)).unwrap_or(false)
     }
 
-    /// Returns a connection to the pool. Closes it instead if the address of the member has changed, the member was
-    /// removed, or the quota is exceeded; otherwise a connection in constant use could outlive the lease of its
-    /// quota.
-    pub fn put_back(&self, member: MemberId, connection: MemberConnection) {
+    /// Returns a connection to the pool, and begins to check that it is synchronized. Closes it instead if the address of
+    /// the member has changed, the member was removed or accepts no statements, or the quota is exceeded; otherwise a
+    /// connection in constant use could outlive the lease of its quota.
+    pub fn put_back(&self, member: MemberId, mut connection: MemberConnection) {
         connection.close_reason().set(CloseReason::Released);
-        if self.is_over_quota(member) {
+        if self.is_over_quota(member) || !self.is_accepting(member) || !connection.begin_sync_check() {
             return;
         }
         let mut slots = self.0.slots.borrow_mut();
@@ -306,8 +308,8 @@
     fn sweep(&self) {
         let mut closing = Vec::new();
         for slot in self.0.slots.borrow_mut().values_mut() {
-            for idle in std::mem::take(&mut slot.idle) {
-                match self.sweep_reason(&idle) {
+            for mut idle in std::mem::take(&mut slot.idle) {
+                match self.sweep_reason(&mut idle) {
                     Some(reason) => closing.push((idle, reason)),
                     None => slot.idle.push(idle),
                 }
@@ -316,9 +318,17 @@
         closing.into_iter().for_each(|(idle, reason)| idle.close(reason));
     }
 
-    fn sweep_reason(&self, idle: &IdleConnection) -> Option<CloseReason> {
-        let is_old = idle.idle_since.elapsed() >= self.0.retire_after;
-        if is_old { Some(CloseReason::Retired) } else { idle.connection.unusable_reason() }
+    fn sweep_reason(&self, idle: &mut IdleConnection) -> Option<CloseReason> {
+        let idle_time = idle.idle_since.elapsed();
+        if idle_time >= self.0.retire_after {
+            return Some(CloseReason::Retired);
+        }
+        match idle.connection.sync_progress() {
+            SyncProgress::Synchronized => idle.connection.unusable_reason(),
+            // The member takes longer than it may for a new connection.
+            SyncProgress::Pending => (idle_time >= self.0.connect_timeout).then_some(CloseReason::TimedOut),
+            SyncProgress::Failed(reason) => Some(reason),
+        }
     }
 
     /// Closes idle connections that are too old or unusable, at an interval. Runs until the process ends.
@@ -330,6 +340,21 @@
     }
 }
 
+/// Removes the last connection that is synchronized. Those on the way that can't be used any more are moved to
+/// `closing`, with the reason.
+fn remove_last_synchronized(
+    idle: &mut Vec<IdleConnection>, closing: &mut Vec<(IdleConnection, CloseReason)>,
+) -> Option<IdleConnection> {
+    for index in (0..idle.len()).rev() {
+        match idle[index].connection.sync_progress() {
+            SyncProgress::Synchronized => return Some(idle.remove(index)),
+            SyncProgress::Pending => {}
+            SyncProgress::Failed(reason) => closing.push((idle.remove(index), reason)),
+        }
+    }
+    None
+}
+
 /// Closes idle connections that the proxy no longer needs. Must not be called while the slots are borrowed.
 fn close_all(idle: impl IntoIterator<Item = IdleConnection>) {
     idle.into_iter().for_each(|idle| idle.close(CloseReason::Released));
