Write a repeat of a keyed request within the window of its key or not at all

Cause: may_repeat compares the window with now and the time to connect; writing took 3.6 s, and an attempt was bounded by its deadline alone.

Change: Action::Send carries written_by, the end of what allows the attempt. No permit is issued from then on, a statement not written by then is given up with its connection, and one over 16 KiB without a reply by then is discarded from the send buffer.

--- a/crates/decisions/src/api/actions.rs
+++ b/crates/decisions/src/api/actions.rs
@@ -13,6 +13,10 @@
         member: MemberId,
         /// Limit on the duration of the attempt, besides the client's deadline; `None` for no further limit.
         timeout: Option<Micros>,
+        /// The time by which the last byte of the statement must be written; `None` for no limit besides the deadline.
+        /// Opening the connection or writing may take long, and what allowed the attempt may end meanwhile. A statement
+        /// that is not written by then must not reach the member.
+        written_by: Option<Time>,
     },
     /// Give the final answer: rejected. A retry by the client does no harm.
     Reject {
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -83,7 +83,9 @@
     /// Sends the next attempt of a request, records it at the request and the member, and removes the request from
     /// the queue.
     pub(super) fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
-        let Some(class) = self.requests.get(&id).map(|request| request.class) else { return };
+        let Some(request) = self.requests.get(&id) else { return };
+        let class = request.class;
+        let written_by = self.repeatable_until(request);
         if self.members.get(&member).is_some_and(|member| member.slow_start.warming_since.is_some()) {
             self.schedule_slow_start_send(member, self.latencies.mean(class));
         }
@@ -99,6 +101,6 @@
         request.attempts_in_flight.push(attempt);
         request.attempts_started += 1;
         self.groups.entry(request.group).or_default().dequeue(&id);
-        out.push(Action::Send { id, member, timeout: None });
+        out.push(Action::Send { id, member, timeout: None, written_by });
     }
 }
--- a/crates/decisions/src/policy/request.rs
+++ b/crates/decisions/src/policy/request.rs
@@ -50,6 +50,12 @@
         self.attempts_in_flight.iter().any(|attempt| attempt.member == member)
     }
 
+    /// The earliest send time of the attempts that may have run; `None` if the request can't have run.
+    pub(super) fn first_execution(&self) -> Option<Time> {
+        let in_flight = self.attempts_in_flight.iter().map(|attempt| attempt.sent);
+        self.first_possible_execution.into_iter().chain(in_flight).min()
+    }
+
     /// The only attempt in flight; `None` if there are several or it was cancelled.
     pub(super) fn sole_attempt(&self) -> Option<&InFlightAttempt> {
         match self.attempts_in_flight.as_slice() {
--- a/crates/decisions/src/policy/retry.rs
+++ b/crates/decisions/src/policy/retry.rs
@@ -3,7 +3,7 @@
 use super::ANSWER_MARGIN;
 use super::request::QueuedRequest;
 use super::router::Router;
-use crate::api::Idempotency;
+use crate::api::{Idempotency, Time};
 
 impl Router {
     /// Whether another attempt is within the limit of attempts, and the request can't have run, may run twice or is
@@ -13,16 +13,27 @@
         if request.attempts_started >= self.settings.limits.max_attempts {
             return false;
         }
-        let in_flight = request.attempts_in_flight.iter().map(|attempt| attempt.sent);
-        let possible_executions = request.first_possible_execution.into_iter().chain(in_flight);
-        let Some(first_execution) = possible_executions.min() else { return true };
+        if request.first_execution().is_none() {
+            return true;
+        }
         match self.class(request.class).idempotency {
             Idempotency::Idempotent => true,
-            Idempotency::Keyed { window, .. } => {
-                let margin = ANSWER_MARGIN + self.settings.limits.connect_timeout;
-                self.now + margin < first_execution + window
+            Idempotency::Keyed { .. } => {
+                let connected = self.now + self.settings.limits.connect_timeout;
+                self.repeatable_until(request).is_some_and(|until| connected < until)
             }
             Idempotency::NotIdempotent => false,
         }
     }
+
+    /// The time until which members recognise a repeat of a keyed request that may have run, less a margin for the way
+    /// to the member. `None` if the request can't have run or has no key.
+    pub(super) fn repeatable_until(&self, request: &QueuedRequest) -> Option<Time> {
+        match self.class(request.class).idempotency {
+            Idempotency::Keyed { window, .. } => {
+                request.first_execution().map(|first| (first + window).saturating_sub(ANSWER_MARGIN))
+            }
+            Idempotency::Idempotent | Idempotency::NotIdempotent => None,
+        }
+    }
 }
--- a/crates/decisions/tests/common/router_harness.rs
+++ b/crates/decisions/tests/common/router_harness.rs
@@ -245,6 +245,15 @@
         self.actions.iter().filter_map(member_of).collect()
     }
 
+    /// The time by which each attempt of a request must be written, in order.
+    pub fn write_limits(&self, id: RequestId) -> Vec<Option<Time>> {
+        let limit_of = |action: &Action| match action {
+            Action::Send { id: sent, written_by, .. } if *sent == id => Some(*written_by),
+            _ => None,
+        };
+        self.actions.iter().filter_map(limit_of).collect()
+    }
+
     /// The number of final answers, rejected or failed, that the router itself gave to a request.
     pub fn final_answers(&self, id: RequestId) -> usize {
         let is_final = |action: &&Action| match action {
--- a/crates/decisions/tests/policy/retry.rs
+++ b/crates/decisions/tests/policy/retry.rs
@@ -33,6 +33,23 @@
     }
 }
 
+/// Guards against a repeat whose last byte reaches the member after the deduplication window, since writing it takes long.
+#[test]
+fn a_keyed_repeat_must_be_written_within_its_window() {
+    let mut settings = default_settings();
+    settings.classes[WRITE.0].idempotency =
+        Idempotency::Keyed { scope: DeduplicationScope::Group, window: Micros(1_000 * MS) };
+    let mut harness = RouterHarness::new(settings);
+    let first_sent = Time(harness.now);
+    let write = harness.send_request(WRITE, 5_000, None);
+    harness.advance(100);
+    harness.end_attempt(write, 0, 1, AttemptResult::without_report(Outcome::Reset, 100));
+    let limits = harness.write_limits(write);
+    assert_eq!((limits.len(), limits[0]), (2, None), "the first attempt has no limit");
+    let limit = limits[1].expect("a limit for the repeat");
+    assert!(limit > first_sent + Micros(900 * MS) && limit < first_sent + Micros(1_000 * MS), "{limit:?}");
+}
+
 /// Guards against a retry that is written after the deduplication window of its key, because it was queued until a
 /// member was available, or because its connection was established only then.
 #[test]
--- a/crates/lab/src/decision_digest/encoding.rs
+++ b/crates/lab/src/decision_digest/encoding.rs
@@ -19,7 +19,7 @@
         self.line.clear();
         let line = &mut self.line;
         let written = match action {
-            Action::Send { id, member, timeout } => {
+            Action::Send { id, member, timeout, .. } => {
                 let timeout = timeout.map_or(-1, |timeout| timeout.0 as i64);
                 write!(line, "{now} S {} {} {timeout}", request_number(id), member.0)
             }
--- a/src/bin/linenhill-simulator-adapter/encode.rs
+++ b/src/bin/linenhill-simulator-adapter/encode.rs
@@ -22,7 +22,7 @@
 /// Appends the line of an action.
 pub fn encode_action(action: &Action, reply: &mut String) {
     match action {
-        Action::Send { id, member, timeout } => {
+        Action::Send { id, member, timeout, .. } => {
             let timeout = micros_or_zero(*timeout);
             push_line(reply, format_args!("HAND_OFF\t{}\t{}\t{timeout}", id_text(id), member.0));
         }
--- a/src/stages/dispatch.rs
+++ b/src/stages/dispatch.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// The limits of an attempt, besides the deadline of its request.
+#[derive(Clone, Copy, Default)]
+pub struct AttemptLimits {
+    /// Limit on the duration of the attempt.
+    pub timeout: Option<Micros>,
+    /// The time by which the last byte of the statement must be written.
+    pub written_by: Option<Instant>,
+}
+
 /// Identifies the attempt that an outcome belongs to.
 #[derive(Clone, Copy)]
 struct AttemptId {
@@ -111,7 +120,7 @@
 
     /// Starts the next attempt of a request. The attempt ends as not sent if the request is over, unknown, past its
     /// deadline, or has reached the maximum number of attempts.
-    pub fn start_attempt(&mut self, id: RequestId, member: MemberId, timeout: Option<Micros>) {
+    pub fn start_attempt(&mut self, id: RequestId, member: MemberId, limits: AttemptLimits) {
         let started = Instant::now();
         let Some(request) = self.requests.get_mut(&id) else {
             // The request is unknown or was removed, so this attempt is never sent.
@@ -137,7 +146,8 @@
         let attempt_request = AttemptRequest {
             member,
             payload: request.payload.clone(),
-            deadline: request.attempt_deadline(started, timeout),
+            deadline: request.attempt_deadline(started, limits.timeout),
+            written_by: limits.written_by,
             is_retry: number > 0,
             purpose: Purpose::Attempt(id, number),
             is_request_over: request.is_over.clone(),
--- a/src/stages/driver.rs
+++ b/src/stages/driver.rs
@@ -6,7 +6,7 @@
 //! operators or the fleet have taken all members of its group out of service, or the fleet does not permit this proxy
 //! to serve it. It fails a request that the router has left unanswered for `ANSWER_OVERDUE_GRACE` past its deadline.
 
-use super::dispatch::Dispatcher;
+use super::dispatch::{AttemptLimits, Dispatcher};
 use super::member_directory::MemberDirectory;
 use super::response_delivery::ResponseDelivery;
 use super::{AcceptedRequest, DriverInput, FinalResponse};
@@ -290,9 +290,10 @@
 
     fn execute(&mut self, action: Action) {
         match action {
-            Action::Send { id, member, timeout } => {
+            Action::Send { id, member, timeout, written_by } => {
                 debug!("attempt_started request={id} member={}", member.0);
-                self.dispatcher.start_attempt(id, member, timeout);
+                let written_by = written_by.map(|time| self.clock.instant(time));
+                self.dispatcher.start_attempt(id, member, AttemptLimits { timeout, written_by });
             }
             Action::Reject { id, retry_after } => self.respond(id, FinalResponse::Rejected { retry_after }),
             Action::Fail { id } => self.respond(id, FinalResponse::Failed),
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -31,6 +31,8 @@
     pub payload: Payload,
     /// The time at which the attempt times out.
     pub deadline: Instant,
+    /// The time by which the last byte of the statement must be written; `None` for no limit besides `deadline`.
+    pub written_by: Option<Instant>,
     /// Whether the request had an earlier attempt. Retries and hedged attempts are subject to the retry budget.
     pub is_retry: bool,
     /// Identifies the request and the attempt in the log.
@@ -69,7 +71,8 @@
 pub async fn run(
     pool: Pool, attempt_request: AttemptRequest, cancelled: oneshot::Receiver<()>, on_written: impl FnOnce(),
 ) -> AttemptOutcome {
-    let AttemptRequest { member, payload, deadline, is_retry, purpose, is_request_over } = attempt_request;
+    let AttemptRequest { member, payload, deadline, written_by, is_retry, purpose, is_request_over } =
+        attempt_request;
     let progress = ExchangeProgress::default();
     let acquire_quota = || {
         if is_retry && !pool.quota().try_spend_retry() {
@@ -82,8 +85,9 @@
         let time_left_ms = time_left.as_millis() as u64;
         payload.render_parts(time_left_ms.max(1))
     };
-    let intent = SendIntent { member, purpose, deadline, is_request_over };
-    let exchange = Exchange { pool: &pool, intent: &intent, progress: &progress };
+    let sent_by = written_by.map_or(deadline, |written_by| written_by.min(deadline));
+    let intent = SendIntent { member, purpose, deadline: sent_by, is_request_over };
+    let exchange = Exchange { pool: &pool, intent: &intent, progress: &progress, written_by };
     let running = exchange.run(acquire_quota, render, on_written);
     tokio::pin!(running);
     // Biased: a reply takes precedence over a cancellation or deadline that becomes ready in the same poll.
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -18,6 +18,7 @@
 use crate::upstream::sync_check::{SyncCheck, SyncProgress, SyncState};
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -141,6 +142,12 @@
         self._quota = quota;
     }
 
+    /// Discards what is not yet delivered to the member when the connection closes.
+    pub fn discard_unsent(&self) {
+        // Fails only if the socket has failed, and then nothing more is delivered.
+        let _ = SockRef::from(self.framed.get_ref()).set_linger(Some(Duration::ZERO));
+    }
+
     /// The member's address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/src/upstream/exchange.rs
+++ b/src/upstream/exchange.rs
@@ -10,10 +10,15 @@
 use crate::upstream::connection::MemberConnection;
 use crate::upstream::pool::Pool;
 use crate::upstream::reply::StatementReply;
-use crate::upstream::send_guard::SendIntent;
+use crate::upstream::send_guard::{SendIntent, SendPermit};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use tokio::time::{Instant, timeout_at};
+
+/// The longest statement that has reached the member's system once it is written: a connection carries one statement at a
+/// time, so the buffers of both systems are empty before it.
+const MAX_DELIVERED_BYTES: usize = 16 * 1024;
 
 /// The progress of an exchange, for the code that cancels it from outside.
 #[derive(Default)]
@@ -50,6 +55,8 @@
     pub(super) pool: &'a Pool,
     pub(super) intent: &'a SendIntent,
     pub(super) progress: &'a ExchangeProgress,
+    /// The time by which the last byte of the statement must be written; `None` for no limit.
+    pub(super) written_by: Option<Instant>,
 }
 
 impl Exchange<'_> {
@@ -86,16 +93,56 @@
             return Err(Outcome::NotSent);
         };
         let (head, tail) = render();
-        connection.write_statement(permit, head, tail).await?;
+        let is_long = head.len() + tail.len() > MAX_DELIVERED_BYTES;
+        self.write_in_time(&mut connection, permit, head, tail).await?;
         self.progress.is_written.set(true);
         on_written();
-        Ok(self.read_reply(connection).await)
+        match self.written_by.filter(|_| is_long) {
+            Some(written_by) => Ok(self.read_reply_in_time(connection, written_by).await),
+            None => Ok(self.read_reply(connection).await),
+        }
+    }
+
+    /// Writes the statement. If its last byte is not written in time, it never reaches the member.
+    async fn write_in_time(
+        &self, connection: &mut MemberConnection, permit: SendPermit, head: Bytes, tail: Bytes,
+    ) -> Result<(), Outcome> {
+        let Some(written_by) = self.written_by else {
+            return connection.write_statement(permit, head, tail).await;
+        };
+        let written = timeout_at(written_by, connection.write_statement(permit, head, tail)).await;
+        written.unwrap_or_else(|_| {
+            connection.close_reason().set(CloseReason::TimedOut);
+            Err(Outcome::NotSent)
+        })
+    }
+
+    /// Reads the reply to a long statement whose last bytes may still be in the send buffer of this system. If there is no
+    /// reply in time, what the member has not received is discarded with the connection.
+    async fn read_reply_in_time(
+        &self, mut connection: MemberConnection, written_by: Instant,
+    ) -> ExchangeReply {
+        match timeout_at(written_by, connection.read_reply(self.pool.response_memory())).await {
+            Ok(reply) => self.finish_reply(connection, reply),
+            Err(_) => {
+                connection.discard_unsent();
+                connection.close_reason().set(CloseReason::TimedOut);
+                ExchangeReply {
+                    reply: StatementReply::without_answer(Outcome::TimedOut),
+                    streaming_connection: None,
+                }
+            }
+        }
     }
 
-    /// Reads the reply. The connection is returned to the pool if it can carry another statement, handed over with the
-    /// beginning of a long answer, and closed otherwise.
     async fn read_reply(&self, mut connection: MemberConnection) -> ExchangeReply {
         let reply = connection.read_reply(self.pool.response_memory()).await;
+        self.finish_reply(connection, reply)
+    }
+
+    /// Returns the connection to the pool if it can carry another statement, hands it over with the beginning of a long
+    /// answer, and closes it otherwise.
+    fn finish_reply(&self, connection: MemberConnection, reply: StatementReply) -> ExchangeReply {
         if reply.is_streaming {
             return ExchangeReply { reply, streaming_connection: Some(connection) };
         }
--- a/src/upstream/health_check.rs
+++ b/src/upstream/health_check.rs
@@ -23,7 +23,7 @@
         SendIntent { member, purpose: Purpose::HealthCheck, deadline, is_request_over: Rc::default() };
     let acquire_quota = || pool.quota().try_spend_health_check().then(QuotaUnit::default);
     let render = || (Bytes::from_static(HEALTH_STATEMENT), Bytes::new());
-    let exchange = Exchange { pool: &pool, intent: &intent, progress: &progress };
+    let exchange = Exchange { pool: &pool, intent: &intent, progress: &progress, written_by: None };
     let running = exchange.run(acquire_quota, render, || ());
     let Ok(result) = timeout(pool.connect_timeout(), running).await else {
         return (Outcome::TimedOut, LoadReport::default());
--- a/src/upstream/reply.rs
+++ b/src/upstream/reply.rs
@@ -51,8 +51,13 @@
 impl StatementReply {
     /// The reply before any message has arrived.
     fn empty() -> StatementReply {
+        StatementReply::without_answer(Outcome::Reset)
+    }
+
+    /// A reply of which nothing can be used.
+    pub(super) fn without_answer(outcome: Outcome) -> StatementReply {
         StatementReply {
-            outcome: Outcome::Reset,
+            outcome,
             raw: Bytes::new(),
             column: None,
             position: None,
--- a/tests/components/member_connection.rs
+++ b/tests/components/member_connection.rs
@@ -158,6 +158,7 @@
                 member: MEMBER,
                 payload: Payload::split_at_timeout(&Bytes::from_static(b"/* d=9 */ SELECT 1"), 5..6),
                 deadline: Instant::now() + LONG_TIMEOUT,
+                written_by: None,
                 is_retry: false,
                 purpose: Purpose::Attempt(RequestId([b'a'; 36]), 0),
                 is_request_over: Rc::default(),
@@ -175,6 +176,47 @@
     LocalSet::new().run_until(steps).await;
 }
 
+/// Runs an attempt with a statement of this length, at a member that never reads it. Returns its outcome, and how much of
+/// it the member's system has received in the end.
+async fn attempt_at_a_member_that_does_not_read(statement_bytes: usize) -> (Outcome, usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind listener");
+    let pool = new_pool(1, LONG_TIMEOUT, listener.local_addr().expect("local address"));
+    let statement = [b"/* d=9 */ SELECT ".as_slice(), &vec![b'1'; statement_bytes]].concat();
+    let attempt_request = AttemptRequest {
+        member: MEMBER,
+        payload: Payload::split_at_timeout(&Bytes::from(statement), 5..6),
+        deadline: Instant::now() + LONG_TIMEOUT,
+        written_by: Some(Instant::now() + Duration::from_millis(300)),
+        is_retry: true,
+        purpose: Purpose::Attempt(RequestId([b'a'; 36]), 1),
+        is_request_over: Rc::default(),
+    };
+    let (_cancel, cancelled) = tokio::sync::oneshot::channel();
+    let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, || ()));
+    let mut member_stream = accept_startup(&listener).await;
+    member_stream.write_all(&startup_answer()).await.expect("write");
+    let outcome = run.await.expect("attempt task").outcome;
+    let mut received = Vec::new();
+    let _ = member_stream.read_to_end(&mut received).await;
+    (outcome, received.len())
+}
+
+/// Guards against a repeat of a keyed write that a slow member receives whole after the window of its key, and applies a
+/// second time. The longer statement does not fit the buffers of both systems.
+#[tokio::test]
+async fn a_statement_that_is_not_written_in_time_never_arrives_whole() {
+    let steps = async {
+        let long = 64 << 20;
+        let (outcome, received) = attempt_at_a_member_that_does_not_read(long).await;
+        assert_eq!(outcome, Outcome::NotSent);
+        assert!(received < long, "{received} of {long} bytes");
+        // It may have arrived, and the time for it is over.
+        let (outcome, _) = attempt_at_a_member_that_does_not_read(100_000).await;
+        assert_eq!(outcome, Outcome::TimedOut);
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
 /// Returns a permit to write to a member that accepts statements.
 async fn permit_for_test() -> SendPermit {
     let pool = new_pool(1, LONG_TIMEOUT, "127.0.0.1:1".parse().expect("valid address"));
