Send a bounded read only while the replica's position is within its bound

Cause: the age is judged when a replica is chosen; opening the connection may take the whole connect timeout more.

Change: the attempt must be written while the replica's known position is no older than the bound (written_by). The primary, and members that check positions themselves, have no limit.

Test: a_bounded_read_must_be_written_while_the_replica_is_recent_enough; without this change it sees no limit.

--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -6,7 +6,7 @@
 use super::member::SentAttempt;
 use super::request::{InFlightAttempt, QueuedRequest};
 use super::router::Router;
-use crate::api::{Action, ClassId, MemberId, ReadLevel, RequestId};
+use crate::api::{Action, ClassId, MemberId, Micros, PositionCheck, ReadLevel, RequestId, Time};
 
 impl Router {
     /// Whether requests of a class go to the primary first.
@@ -80,12 +80,32 @@
             .all(|(_, replica)| !replica.is_healthy() || self.is_lagging(replica, target, wait))
     }
 
+    /// The time by which the next attempt of a request must be written at this member: a repeat within the window of its
+    /// key, a bounded read while the replica's position is recent enough.
+    fn written_by(&self, request: &QueuedRequest, member: MemberId) -> Option<Time> {
+        match self.class(request.class).read_level {
+            ReadLevel::Bounded(max_age) => self.fresh_until(request, member, max_age),
+            _ => self.repeatable_until(request),
+        }
+    }
+
+    /// The time until which the known position of a replica is no older than `max_age`. `None` for the primary, whose
+    /// data is current, and where members check positions themselves.
+    fn fresh_until(&self, request: &QueuedRequest, member: MemberId, max_age: Micros) -> Option<Time> {
+        let is_primary = self.groups.get(&request.group).is_some_and(|group| group.primary == Some(member));
+        if is_primary || self.settings.position_check != PositionCheck::None {
+            return None;
+        }
+        let replica = self.members.get(&member)?;
+        Some(replica.replication.position.as_time() + max_age)
+    }
+
     /// Sends the next attempt of a request, records it at the request and the member, and removes the request from
     /// the queue.
     pub(super) fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = request.class;
-        let written_by = self.repeatable_until(request);
+        let written_by = self.written_by(request, member);
         if self.members.get(&member).is_some_and(|member| member.slow_start.warming_since.is_some()) {
             self.schedule_slow_start_send(member, self.latencies.mean(class));
         }
--- a/crates/decisions/tests/policy/retry.rs
+++ b/crates/decisions/tests/policy/retry.rs
@@ -50,6 +50,27 @@
     assert!(limit > first_sent + Micros(900 * MS) && limit < first_sent + Micros(1_000 * MS), "{limit:?}");
 }
 
+/// Guards against a bounded read that is written once the replica's data is too old, since its connection came up late.
+#[test]
+fn a_bounded_read_must_be_written_while_the_replica_is_recent_enough() {
+    for (position_check, is_limited) in
+        [(PositionCheck::None, true), (PositionCheck::Wait(Micros(50 * MS)), false)]
+    {
+        let mut settings = default_settings();
+        settings.position_check = position_check;
+        let mut harness = RouterHarness::new(settings);
+        let reported = harness.now;
+        [2, 3].map(|replica| harness.report_health(replica, reported, Role::Replica));
+        harness.advance(50);
+        let read = harness.send_request(BOUNDED, 1_000, None);
+        assert_ne!(harness.attempted_members(read), [1], "a replica serves it");
+        let limits = harness.write_limits(read);
+        // A reported position may have been rounded up by 1 ms.
+        let expected = is_limited.then_some(Time(reported) + Micros(199 * MS));
+        assert_eq!(limits, [expected], "{position_check:?}");
+    }
+}
+
 /// Guards against a retry that is written after the deduplication window of its key, because it was queued until a
 /// member was available, or because its connection was established only then.
 #[test]
