--- a/crates/decisions/tests/policy/retry.rs
+++ b/crates/decisions/tests/policy/retry.rs
@@ -60,7 +60,9 @@
         settings.position_check = position_check;
         let mut harness = RouterHarness::new(settings);
         let reported = harness.now;
-        [2, 3].map(|replica| harness.report_health(replica, reported, Role::Replica));
+        for replica in [2, 3] {
+            harness.report_health(replica, reported, Role::Replica);
+        }
         harness.advance(50);
         let read = harness.send_request(BOUNDED, 1_000, None);
         assert_ne!(harness.attempted_members(read), [1], "a replica serves it");
