Replace a permit whose return was requested when it is asked for again

Cause: request_permit handed out the held permit although its return was asked for; quarantine() leaves such a member out, and the permit ends with the next report that the member is in service.

Change: such a permit allows nothing. It is replaced by a new one under the limits, in a new edition of the quarantine that every proxy must confirm.

--- a/crates/decisions/src/disruption/table.rs
+++ b/crates/decisions/src/disruption/table.rs
@@ -119,8 +119,8 @@
     }
 
     /// Grants a permit for a subject to be unavailable, if the limits allow it and the subject is not a primary in
-    /// service. A repeated request by the same requester returns the same permit. With `force` neither condition
-    /// applies, and a permit held by another requester is returned as it is.
+    /// service. A repeated request by the same requester returns the same permit, unless its return was requested: then
+    /// it is replaced. With `force` neither condition applies, and a permit held by another requester is returned as it is.
     ///
     /// # Errors
     ///
@@ -130,7 +130,8 @@
     ) -> Result<Permit, PermitDenied> {
         let key = subject.key();
         let record = self.subjects.get(&key).ok_or(PermitDenied::UnknownSubject)?;
-        if let Some(held) = &record.permit {
+        // A permit whose return was requested allows nothing any more: the subject may be in use already.
+        if let Some(held) = record.permit.as_ref().filter(|held| !held.returning) {
             if held.requested_by == requested_by || force {
                 return Ok(held.clone());
             }
--- a/crates/decisions/tests/disruption/permits.rs
+++ b/crates/decisions/tests/disruption/permits.rs
@@ -115,6 +115,31 @@
     assert!(!fleet.is_unavailable("member/m1"));
 }
 
+/// Guards against a member that operators take out again while it still counts as out, and that proxies go on using: its
+/// permit was handed out once more although its return was requested, so it was not in the quarantine.
+#[test]
+fn a_permit_that_is_being_returned_is_not_handed_out_again() {
+    let mut fleet = Fleet::new(2, policy(1, 1));
+    (0..2).for_each(|proxy| fleet.report(proxy, Availability::InService, &ALL_IN_SERVICE));
+    let first = fleet.request_permit("member/m1", "p0", false).expect("a permit");
+    let banned = [("m1", Availability::OperatorBan)];
+    for proxy in 0..2 {
+        fleet.report_quarantined(proxy, Availability::InService, &banned, first.quarantine_edition);
+    }
+    assert!(fleet.table.request_return(&Subject::Member("m1".into())));
+    // The proxies have not reported the member as in service yet.
+    let second = fleet.request_permit("member/m1", "p0", false).expect("a permit");
+    assert_ne!(second.number, first.number);
+    assert_eq!(second.unconfirmed.len(), 2, "every proxy must confirm that it does not use the member");
+    assert_eq!(fleet.table.quarantine().members, ["m1".to_string()]);
+    let edition = second.quarantine_edition;
+    (0..2).for_each(|proxy| fleet.report_quarantined(proxy, Availability::InService, &banned, edition));
+    assert_eq!(fleet.unconfirmed_of_m1(), 0);
+    let back = [("m1", Availability::InService)];
+    fleet.report_quarantined(0, Availability::InService, &back, edition);
+    assert!(fleet.request_permit("member/m2", "p0", false).is_err(), "one member may be out, and m1 is");
+}
+
 /// Guards against counting a member as unavailable because a minority of the proxies is disconnected from it.
 #[test]
 fn unresponsive_for_a_minority_does_not_count() {
