--- a/tests/outages.rs
+++ b/tests/outages.rs
@@ -205,7 +205,7 @@
 #[test]
 fn a_member_that_is_taken_out_again_at_once_gets_nothing() {
     run_local(async {
-        let mut cluster = start_cluster("outages-again", 2).await;
+        let cluster = start_cluster("outages-again", 2).await;
         cluster.start_writers(1);
         cluster.start_readers(4);
         cluster.wait_until_served(1, 20).await;
