Allow for a held-up process before the write of a keyed repeat

Need: written_by ended 15 ms before the key's window, and a process may be held up 150 ms between its last look at the clock and the write (platform_bounds), so a repeat could still be written past the window. By reading; no caller saw it.

Change: the limit of a repeat ends MAX_HOLD_UP earlier. A class that is both keyed and bounded gets the earlier of both limits.

--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -7,6 +7,7 @@
 use super::request::{InFlightAttempt, QueuedRequest};
 use super::router::Router;
 use crate::api::{Action, ClassId, MemberId, Micros, PositionCheck, ReadLevel, RequestId, Time};
+use crate::platform_bounds::MAX_HOLD_UP;
 
 impl Router {
     /// Whether requests of a class go to the primary first.
@@ -83,10 +84,13 @@
     /// The time by which the next attempt of a request must be written at this member: a repeat within the window of its
     /// key, a bounded read while the replica's position is recent enough.
     fn written_by(&self, request: &QueuedRequest, member: MemberId) -> Option<Time> {
-        match self.class(request.class).read_level {
+        let fresh_until = match self.class(request.class).read_level {
             ReadLevel::Bounded(max_age) => self.fresh_until(request, member, max_age),
-            _ => self.repeatable_until(request),
-        }
+            _ => None,
+        };
+        // The process may be held up between its last look at the clock and the write.
+        let repeatable_until = self.repeatable_until(request).map(|until| until.saturating_sub(MAX_HOLD_UP));
+        fresh_until.into_iter().chain(repeatable_until).min()
     }
 
     /// The time until which the known position of a replica is no older than `max_age`. `None` for the primary, whose
--- a/tests/response_memory.rs
+++ b/tests/response_memory.rs
@@ -1,4 +1,4 @@
-//! The memory of the program, measured from outside, while answers wait behind slow requests.
+//! The memory of the program, as the kernel reports it, while answers wait behind slow requests.
 
 mod harness;
 
