--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,4 +1,4 @@
-//! Case 8: long values, more at once than memory holds, bring the process over its memory limit.
+//! Case 8: where the proxy keeps the sessions' commits, the commit of a write with a long answer is not kept.
 
 use review_standins_2::client::{Answer, Client, wait_until_ready};
 use review_standins_2::discovery::{Discovery, Entry, list_json};
@@ -6,211 +6,129 @@
 use review_standins_2::process::Process;
 use review_standins_2::settings::Site;
 use review_standins_2::{Record, TemporaryFolder, Verdict, free_address, run_case, sleep_ms, unix_ms, wire};
-use std::io::{Read, Write};
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-/// The smallest memory and the most descriptors that the pages give a proxy.
-const MEMORY_MB: u64 = 32;
-const SOCKETS: u64 = 1_024;
-/// Clients that have started a session and say nothing.
-const SILENT: usize = 300;
-/// Clients with a request, 226 of the 341 that may have one.
-const WRITERS: usize = 120;
-const LONG_WRITERS: usize = 6;
-const READERS: usize = 100;
-const SHORT_BYTES: usize = 1_000;
-const WRITTEN_BYTES: usize = 131_500;
-/// With its statement and header a little under 4 MiB.
-const LONG_BYTES: usize = (4 << 20) - 200;
+/// How far a replica that applies the log slowly is behind.
+const SLOW_LAG_MS: u64 = 4_000;
+/// How far the others are behind.
+const USUAL_LAG_MS: u64 = 10;
+const SHORT_BYTES: usize = 64;
+const LONG_BYTES: usize = 100_000;
+const ROUNDS: usize = 8;
 
-#[derive(Default)]
-struct Ends {
-    served: AtomicUsize,
-    errors: AtomicUsize,
-    ended: AtomicUsize,
-}
-
-impl Ends {
-    fn count(&self, answer: &Answer) {
-        let counter = match answer {
-            Answer::Served(_) => &self.served,
-            Answer::Error(_) => &self.errors,
-            _ => &self.ended,
-        };
-        counter.fetch_add(1, Ordering::SeqCst);
-    }
-}
+/// The log of the group: commit, key and value of each write, in order.
+type Log = Arc<Mutex<Vec<(u64, String, Vec<u8>)>>>;
 
-/// Anonymous memory and all resident memory of a process, in KiB, as the system shows them.
-fn memory_kib(pid: u32) -> (u64, u64) {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let field = |name: &str| {
-        let line = text.lines().find(|line| line.starts_with(name));
-        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
-    };
-    (field("RssAnon:"), field("VmRSS:"))
+/// The value of a key as a member sees it that has applied the log up to `position`.
+fn value_at(log: &Log, key: &str, position: u64) -> Vec<u8> {
+    let log = log.lock().unwrap();
+    let seen = log.iter().rev().find(|(commit, written, _)| written == key && *commit <= position);
+    seen.map(|(_, _, value)| value.clone()).unwrap_or_default()
 }
 
-/// A write, sent in pieces over some 200 ms.
-fn write_value(address: SocketAddr, id: String, bytes: usize, piece: usize) -> Answer {
-    let Ok(mut client) = Client::connect(address) else { return Answer::Ended("no connection".into()) };
-    let value = "v".repeat(bytes);
-    let key = unix_ms() * 1_000 + id.len() as u64;
-    let statement = format!(
-        "/* id={id},c=order-write,d=4900,k={key:016x},cluster=1 */ INSERT INTO state (uid, val) VALUES ('{id}', '{value}') RETURNING val"
-    );
-    for part in wire::query(&statement).chunks(piece) {
-        if client.stream.write_all(part).is_err() {
-            return client.receive();
+fn start_member(number: usize, lag: u64, log: &Log, arrivals: &Arrivals, record: &Record) -> Member {
+    let is_primary = number == 1;
+    let position = move || if is_primary { unix_ms() } else { unix_ms() - lag };
+    let log = log.clone();
+    Member::start(&format!("m-{number}"), is_primary, arrivals, record, position, move |statement| {
+        let quoted = wire::quoted(statement);
+        if !statement.contains("INSERT") {
+            let at = position();
+            let value = value_at(&log, quoted[0], at);
+            return Reply { lsn_ms: Some(at), ..Reply::row(&value, Duration::from_millis(10)) };
         }
-        sleep_ms(40);
-    }
-    client.receive()
-}
-
-/// A read whose answer is taken 64 KiB each 40 ms; up to its end or 6 s.
-fn read_slowly(address: SocketAddr, id: String) -> Answer {
-    let Ok(mut client) = Client::connect(address) else { return Answer::Ended("no connection".into()) };
-    let statement =
-        format!("/* id={id},c=list-read,d=2900,cluster=1 */ SELECT val FROM state WHERE uid = '{id}'");
-    if client.send(&statement).is_err() {
-        return Answer::Ended("not sent".into());
-    }
-    let (mut buffer, mut all) = (vec![0; 64 * 1024], Vec::new());
-    let begun = Instant::now();
-    while begun.elapsed() < Duration::from_secs(6) && !all.ends_with(wire::READY) {
-        match client.stream.read(&mut buffer) {
-            Ok(0) | Err(_) => return Answer::Ended("the connection ended".into()),
-            Ok(length) => all.extend_from_slice(&buffer[..length]),
+        if !is_primary {
+            return Reply::error("25006");
         }
-        sleep_ms(40);
-    }
-    if all.first() == Some(&b'E') { Answer::Error(String::new()) } else { Answer::Served(Vec::new()) }
+        let mut log = log.lock().unwrap();
+        let commit = unix_ms();
+        log.push((commit, quoted[0].to_string(), quoted[1].as_bytes().to_vec()));
+        Reply { lsn_ms: Some(commit), ..Reply::row(quoted[1].as_bytes(), Duration::from_millis(10)) }
+    })
 }
 
 fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let folder = TemporaryFolder::create();
-    let arrivals = Arrivals::default();
-    let members: Vec<Member> = (1..=3)
-        .map(|number| {
-            Member::start(&format!("m-{number}"), number == 1, &arrivals, record, unix_ms, move |statement| {
-                let work = Duration::from_millis(150);
-                match (statement.contains("INSERT"), trouble) {
-                    (true, _) if number != 1 => Reply::error("25006"),
-                    (true, _) => Reply::row(wire::quoted(statement)[1].as_bytes(), work),
-                    (false, true) => Reply {
-                        part_bytes: 64 * 1024,
-                        pause: Duration::from_millis(20),
-                        ..Reply::row(&vec![b'v'; 4 << 20], work)
-                    },
-                    (false, false) => Reply::row(&[b'v'; SHORT_BYTES], work),
-                }
-            })
-        })
-        .collect();
-    let entries: Vec<Entry> = members.iter().map(|m| Entry::in_service(&m.name, m.address, "a")).collect();
+    let (arrivals, log) = (Arrivals::default(), Log::default());
+    let lag = if trouble { SLOW_LAG_MS } else { USUAL_LAG_MS };
+    let members: Vec<Member> =
+        (1..=3).map(|number| start_member(number, lag, &log, &arrivals, record)).collect();
+    let entry = |member: &Member| Entry {
+        recovery: Some(if member.name == "m-1" { "off" } else { "on" }),
+        ..Entry::in_service(&member.name, member.address, "a")
+    };
+    let entries: Vec<Entry> = members.iter().map(entry).collect();
     let discovery = Discovery::start(1, entries.clone(), record);
-    let site = Site { fleet_size: 1, memory_mb: MEMORY_MB, sockets: SOCKETS, ..Site::first() };
+    let site = Site {
+        discovery: "pushed",
+        drain_grace: 250_000,
+        server_checks: "off",
+        write_marks: "kept",
+        shows_role: "trailing",
+        fleet_size: 1,
+        ..Site::first()
+    };
     let listen = free_address();
     let config = folder.0.join("config.json");
     let text = site.config("n1", listen, discovery.address, &list_json(1, true, &entries));
     std::fs::write(&config, text).map_err(|error| error.to_string())?;
-    let mut proxy = Process::start(&folder.0, "n1", "", &[("LB_CONFIG", &config.display().to_string())])?;
+    let _proxy = Process::start(&folder.0, "n1", "", &[("LB_CONFIG", &config.display().to_string())])?;
     if !wait_until_ready(listen, Duration::from_secs(12)) {
         return Err("the proxy is not ready".into());
     }
-    sleep_ms(500);
-    let pid = proxy.id();
-    let (peak_anonymous, peak_all) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
-    let stop = Arc::new(AtomicBool::new(false));
-    let sampler = {
-        let (peak_anonymous, peak_all, stop) = (peak_anonymous.clone(), peak_all.clone(), stop.clone());
-        thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) {
-                let (anonymous, all) = memory_kib(pid);
-                peak_anonymous.fetch_max(anonymous, Ordering::SeqCst);
-                peak_all.fetch_max(all, Ordering::SeqCst);
-                sleep_ms(5);
+    sleep_ms(1_000);
+    let mut client = Client::connect(listen).map_err(|error| error.to_string())?;
+    let mut stale = Vec::new();
+    let (mut written, mut read) = (0, 0);
+    for (kind, bytes) in [("short", SHORT_BYTES), ("long", LONG_BYTES)] {
+        for round in 0..ROUNDS {
+            let key = format!("{kind}-{round}");
+            let value = format!("{key}:")
+                .into_bytes()
+                .into_iter()
+                .chain(std::iter::repeat(b'v'))
+                .take(bytes)
+                .collect::<Vec<u8>>();
+            let text = String::from_utf8_lossy(&value);
+            let write = format!(
+                "/* id=w-{key},c=order-write,d=4900,k={:016x},cluster=1 */ INSERT INTO state (uid, val) VALUES ('{key}', '{text}') RETURNING val",
+                unix_ms() + round as u64
+            );
+            let answer = client.ask(&write);
+            record.line(format!("write {key}: {}", answer.text()));
+            if answer != Answer::Served(value.clone()) {
+                continue;
             }
-        })
-    };
-    let mut silent = Vec::new();
-    for number in 0..SILENT {
-        silent.extend(Client::connect(listen));
-        if number % 25 == 24 {
-            sleep_ms(20);
-        }
-    }
-    record.line(format!(
-        "{} silent clients, memory now {:?} KiB (anonymous, resident)",
-        silent.len(),
-        memory_kib(pid)
-    ));
-
-    let ends = Arc::new(Ends::default());
-    let mut clients = Vec::new();
-    for number in 0..WRITERS {
-        let ends = ends.clone();
-        clients.push(thread::spawn(move || {
-            for round in 0..3 {
-                let bytes = if trouble { WRITTEN_BYTES } else { SHORT_BYTES };
-                ends.count(&write_value(listen, format!("w-{number}-{round}"), bytes, 30_000));
-                sleep_ms(300);
-            }
-        }));
-    }
-    for number in 0..LONG_WRITERS {
-        let ends = ends.clone();
-        clients.push(thread::spawn(move || {
-            for round in 0..3 {
-                let bytes = if trouble { LONG_BYTES } else { SHORT_BYTES };
-                ends.count(&write_value(listen, format!("long-{number}-{round}"), bytes, 200_000));
-                sleep_ms(300);
+            written += 1;
+            sleep_ms(300);
+            let answer = client.ask(&format!(
+                "/* id=r-{key},c=own-read,d=2900,cluster=1 */ SELECT val FROM state WHERE uid = '{key}'"
+            ));
+            record.line(format!("own read {key}: {}", answer.text()));
+            let Answer::Served(seen) = answer else { continue };
+            read += 1;
+            if seen != value {
+                let by = arrivals.all().into_iter().rev().find(|arrival| arrival.id == format!("r-{key}"));
+                let by = by.map_or("nobody".to_string(), |arrival| arrival.member);
+                record.line(format!(
+                    "STALE: {key} was written and answered, its session's read at {by} does not see it"
+                ));
+                stale.push(key);
             }
-        }));
-    }
-    for number in 0..READERS {
-        let ends = ends.clone();
-        clients.push(thread::spawn(move || {
-            for round in 0..3 {
-                ends.count(&read_slowly(listen, format!("r-{number}-{round}")));
-                sleep_ms(300);
-            }
-        }));
-    }
-    for client in clients {
-        let _ = client.join();
-    }
-    stop.store(true, Ordering::SeqCst);
-    let _ = sampler.join();
-    drop(silent);
-    if let Some(status) = proxy.has_ended() {
-        return Ok(Verdict::Broken(format!("the proxy ended: {status}")));
+        }
     }
-    proxy.signal("USR1");
-    sleep_ms(300);
-    for line in proxy.log_text().lines().filter(|line| line.contains("counters")) {
-        record.line(format!("log: {line}"));
+    if written < ROUNDS || read == 0 {
+        return Err(format!("only {written} writes and {read} reads were served"));
     }
-    let (served, errors, ended) = (
-        ends.served.load(Ordering::SeqCst),
-        ends.errors.load(Ordering::SeqCst),
-        ends.ended.load(Ordering::SeqCst),
-    );
-    record.line(format!("clients: {served} served, {errors} errors, {ended} ended"));
-    if served < 50 {
-        return Err(format!("only {served} requests were served"));
+    if stale.is_empty() {
+        return Ok(Verdict::Held(format!("{written} writes, {read} reads of their sessions, all saw them")));
     }
-    let limit = MEMORY_MB * 1_024;
-    let (anonymous, all) = (peak_anonymous.load(Ordering::SeqCst), peak_all.load(Ordering::SeqCst));
-    let text = format!(
-        "most memory {anonymous} KiB anonymous, {all} KiB resident, the limit is {limit} KiB; {served} served, {errors} errors"
-    );
-    Ok(if anonymous > limit { Verdict::Broken(text) } else { Verdict::Held(text) })
+    Ok(Verdict::Broken(format!(
+        "{written} writes, {read} reads of their sessions, {} did not see them: {}",
+        stale.len(),
+        stale.join(" ")
+    )))
 }
 
 fn main() {
--- a/review/standins-2/src/member.rs
+++ b/review/standins-2/src/member.rs
@@ -1,8 +1,9 @@
 //! A stand-in for a member. It answers as its handler says; probes, empty queries and startup as the protocol page does.
 
 use crate::{Record, unix_ms, wire};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -58,6 +59,23 @@
     }
 }
 
+/// Long statements that a member reads slowly.
+pub struct SlowReads {
+    /// How many are still to be read slowly; the first ones to come.
+    pub left: AtomicUsize,
+    /// A shorter statement is read at once.
+    pub longer_than: usize,
+    pub piece_bytes: usize,
+    pub pause: Duration,
+}
+
+impl SlowReads {
+    fn takes(&self, length: usize) -> bool {
+        let take = |left: usize| left.checked_sub(1);
+        length > self.longer_than && self.left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
+    }
+}
+
 pub struct Member {
     pub name: String,
     pub address: SocketAddr,
@@ -72,6 +90,7 @@
     handler: Box<Handler>,
     arrivals: Arrivals,
     record: Record,
+    slow_reads: Option<Arc<SlowReads>>,
 }
 
 impl Member {
@@ -80,6 +99,15 @@
         name: &str, is_primary: bool, arrivals: &Arrivals, record: &Record,
         position_ms: impl Fn() -> u64 + Send + Sync + 'static,
         handler: impl Fn(&str) -> Reply + Send + Sync + 'static,
+    ) -> Member {
+        Member::start_with(name, is_primary, arrivals, record, None, position_ms, handler)
+    }
+
+    /// Starts a member that reads some long statements slowly.
+    pub fn start_with(
+        name: &str, is_primary: bool, arrivals: &Arrivals, record: &Record,
+        slow_reads: Option<Arc<SlowReads>>, position_ms: impl Fn() -> u64 + Send + Sync + 'static,
+        handler: impl Fn(&str) -> Reply + Send + Sync + 'static,
     ) -> Member {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a member can listen");
         let address = listener.local_addr().unwrap();
@@ -90,6 +118,7 @@
             handler: Box::new(handler),
             arrivals: arrivals.clone(),
             record: record.clone(),
+            slow_reads,
         });
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -107,7 +136,7 @@
         wire::read_startup(&mut stream)?;
         stream.write_all(&[&wire::message(b'R', &[0; 4]), wire::READY].concat())?;
         loop {
-            let (kind, body) = wire::read_message(&mut stream)?;
+            let (kind, body) = self.read_statement(&mut stream)?;
             if kind != b'Q' {
                 return Ok(());
             }
@@ -143,6 +172,25 @@
         }
     }
 
+    /// The next message, read slowly if it is one of those.
+    fn read_statement(&self, stream: &mut TcpStream) -> io::Result<(u8, Vec<u8>)> {
+        let mut head = [0; 5];
+        stream.read_exact(&mut head)?;
+        let length = (u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize).saturating_sub(4);
+        let mut body = vec![0; length];
+        match self.slow_reads.as_ref().filter(|slow| slow.takes(length)) {
+            None => stream.read_exact(&mut body)?,
+            Some(slow) => {
+                self.record.line(format!("member {} begins to read {length} bytes slowly", self.name));
+                for piece in body.chunks_mut(slow.piece_bytes) {
+                    stream.read_exact(piece)?;
+                    thread::sleep(slow.pause);
+                }
+            }
+        }
+        Ok((head[0], body))
+    }
+
     fn write_reply(&self, stream: &mut TcpStream, reply: &Reply) -> io::Result<()> {
         if let Some(bytes) = reply.break_after {
             stream.write_all(&reply.answer[..bytes.min(reply.answer.len())])?;
--- a/review/standins-2/src/settings.rs
+++ b/review/standins-2/src/settings.rs
@@ -24,6 +24,10 @@
     pub me: u32,
     pub memory_mb: u64,
     pub sockets: u64,
+    /// For how long a group drops repeats of a key, in microseconds.
+    pub window: u64,
+    /// What a late answer earns.
+    pub late_worth: f64,
 }
 
 impl Site {
@@ -52,6 +56,8 @@
             me: 0,
             memory_mb: 192,
             sockets: 1_024,
+            window: 5_000_000,
+            late_worth: 0.0,
         }
     }
 
@@ -62,8 +68,8 @@
             .iter()
             .map(|class| {
                 format!(
-                    "{{\"name\":\"{}\",\"giveUp\":{},\"slo\":{},\"semantics\":\"{}\",\"group\":\"cell\",\"window\":5000000,\"points\":1.0,\"lateWorth\":0.0,\"stream\":false}}",
-                    class.name, class.give_up, class.slo, class.semantics
+                    "{{\"name\":\"{}\",\"giveUp\":{},\"slo\":{},\"semantics\":\"{}\",\"group\":\"cell\",\"window\":{},\"points\":1.0,\"lateWorth\":{:?},\"stream\":false}}",
+                    class.name, class.give_up, class.slo, class.semantics, self.window, self.late_worth
                 )
             })
             .collect();
