Keep the rest of an ended attempt from its member, and repeat long writes only then

Cause: "written" meant in a buffer of the system, and an orderly close goes on delivering.

Change: a member connection whose statement has no complete reply is reset however it ends, also with the process; a keyed request of over 16 KiB is cancelled for a repeat only while its last byte is in this process (CancelIfUnwritten), else never repeated after an attempt that may still run; the send buffer is bounded to 64 KiB; a connection that carried over 64 KiB is not reused.

--- a/crates/decisions/src/api/actions.rs
+++ b/crates/decisions/src/api/actions.rs
@@ -37,6 +37,14 @@
         /// Number of the attempt within its request, from 0.
         attempt: u32,
     },
+    /// Cancel an attempt in flight if the last byte of its statement is not written, so that it never runs. It ends as
+    /// [`Outcome::NotSent`](super::Outcome::NotSent) then, and continues otherwise.
+    CancelIfUnwritten {
+        /// Id of the request.
+        id: RequestId,
+        /// Number of the attempt within its request, from 0.
+        attempt: u32,
+    },
     /// Set a timer that wakes the router.
     SetTimer {
         /// Token that [`Event::TimerDue`](super::Event::TimerDue) returns.
--- a/crates/decisions/src/api/events.rs
+++ b/crates/decisions/src/api/events.rs
@@ -119,6 +119,9 @@
     pub group: GroupId,
     /// Client session, if any.
     pub session: Option<SessionKey>,
+    /// Whether the statement is so long that the member's system may hold all of it for seconds before the member has
+    /// read it. Such a statement may run after its connection was closed.
+    pub is_statement_long: bool,
 }
 
 /// The end of an attempt.
--- a/crates/decisions/src/policy/arrival.rs
+++ b/crates/decisions/src/policy/arrival.rs
@@ -74,6 +74,8 @@
             weight,
             is_past_objective: objective.is_past,
             first_possible_execution: None,
+            is_statement_long: request.is_statement_long,
+            may_run_later: false,
             has_reached_member: false,
             attempts_started: 0,
             attempts_in_flight: Vec::new(),
--- a/crates/decisions/src/policy/attempt_outcome.rs
+++ b/crates/decisions/src/policy/attempt_outcome.rs
@@ -37,6 +37,12 @@
         matches!(self.end.outcome, Cancelled | Failed | MalformedReply | Reset | TimedOut)
     }
 
+    /// Whether the attempt ended by a close of its connection from this side, after which the member may still read
+    /// what its system has received. A connection that the member has reset is not read any more.
+    fn was_abandoned(&self) -> bool {
+        matches!(self.end.outcome, Outcome::Cancelled | Outcome::MalformedReply | Outcome::TimedOut)
+    }
+
     /// The position that the member has applied, if the answer carries one. The commit of a write is rounded up, so
     /// the rounding is subtracted.
     fn applied_position(&self) -> Option<LogPosition> {
@@ -204,6 +210,7 @@
             let earliest = request.first_possible_execution.map_or(sent, |earliest| earliest.min(sent));
             request.first_possible_execution = Some(earliest);
         }
+        request.may_run_later |= request.is_statement_long && ended.was_abandoned();
         request.has_reached_member |= !matches!(end.outcome, Outcome::ConnectError | Outcome::NotSent);
         if end.is_request_over {
             self.remove_request(end.id, out);
--- a/crates/decisions/src/policy/hedging.rs
+++ b/crates/decisions/src/policy/hedging.rs
@@ -3,7 +3,8 @@
 //!
 //! The more attempts remain unanswered (lost answers or hung members), the earlier an attempt is cancelled, at the
 //! price of starting long work twice. Attempts of requests that must never run twice are neither hedged nor
-//! cancelled.
+//! cancelled. A keyed request with a long statement is not hedged, and is cancelled only while the statement is not
+//! written: what the member's system has received may run after the window of a repeat.
 
 use super::request::{InFlightAttempt, QueuedRequest};
 use super::router::Router;
@@ -77,7 +78,11 @@
         };
         let late: Vec<(RequestId, f64)> = self.requests.iter().filter_map(late).collect();
         for (id, waited) in late {
-            if let Some(member) = self.hedge_target(&id) {
+            if self.may_run_after_cancelling(&id) {
+                if waited > cancel_after {
+                    self.cancel_unwritten_attempt(id, out);
+                }
+            } else if let Some(member) = self.hedge_target(&id) {
                 self.hedging.balance -= 1.0;
                 self.send(id, member, out);
             } else if waited > cancel_after {
@@ -92,14 +97,35 @@
         self.select_replica(request, true)
     }
 
+    /// Whether an attempt of the request must not run beside or after a repeat, and may do so after it was cancelled.
+    fn may_run_after_cancelling(&self, id: &RequestId) -> bool {
+        self.requests.get(id).is_some_and(|request| {
+            let is_keyed = matches!(self.class(request.class).idempotency, Idempotency::Keyed { .. });
+            is_keyed && request.is_statement_long
+        })
+    }
+
+    fn cancel_unwritten_attempt(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if !self.settings.limits.cancel {
+            return;
+        }
+        let Some(attempt) = self.mark_cancelled(id) else { return };
+        out.push(Action::CancelIfUnwritten { id, attempt });
+    }
+
     fn cancel_sole_attempt(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if !self.settings.limits.cancel {
             return;
         }
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(attempt) = request.attempts_in_flight.first_mut() else { return };
+        let Some(attempt) = self.mark_cancelled(id) else { return };
+        out.push(Action::Cancel { id, attempt });
+    }
+
+    /// Marks the only attempt of a request as cancelled, and returns its number.
+    fn mark_cancelled(&mut self, id: RequestId) -> Option<u32> {
+        let attempt = self.requests.get_mut(&id)?.attempts_in_flight.first_mut()?;
         attempt.is_cancelled = true;
-        out.push(Action::Cancel { id, attempt: attempt.number });
+        Some(attempt.number)
     }
 
     /// Number of expected latencies that a request's only attempt has been in flight; infinite if the attempt's
--- a/crates/decisions/src/policy/rejection.rs
+++ b/crates/decisions/src/policy/rejection.rs
@@ -29,7 +29,7 @@
     fn is_client_retry_harmless(&self, request: &QueuedRequest) -> bool {
         let is_recognised = match self.class(request.class).idempotency {
             Idempotency::Idempotent => true,
-            Idempotency::Keyed { scope, .. } => scope == DeduplicationScope::All,
+            Idempotency::Keyed { scope, .. } => scope == DeduplicationScope::All && !request.may_run_later,
             Idempotency::NotIdempotent => false,
         };
         let cannot_have_run =
--- a/crates/decisions/src/policy/request.rs
+++ b/crates/decisions/src/policy/request.rs
@@ -9,7 +9,7 @@
     pub(super) number: u32,
     pub(super) member: MemberId,
     pub(super) sent: Time,
-    /// Whether the attempt was cancelled; its end has not arrived yet.
+    /// Whether the attempt was cancelled, if only as an unwritten one; its end has not arrived yet.
     pub(super) is_cancelled: bool,
 }
 
@@ -35,6 +35,11 @@
     pub(super) is_past_objective: bool,
     /// Earliest send time of the ended attempts that may have run.
     pub(super) first_possible_execution: Option<Time>,
+    /// Whether the member's system may hold all of the statement for seconds before the member has read it.
+    pub(super) is_statement_long: bool,
+    /// Whether an ended attempt may still run: its connection was closed without a complete reply, while the member's
+    /// system may have held all of a long statement.
+    pub(super) may_run_later: bool,
     /// Whether an ended attempt reached a member.
     pub(super) has_reached_member: bool,
     /// Attempts started, including ended ones.
--- a/crates/decisions/src/policy/retry.rs
+++ b/crates/decisions/src/policy/retry.rs
@@ -7,7 +7,8 @@
 
 impl Router {
     /// Whether another attempt is within the limit of attempts, and the request can't have run, may run twice or is
-    /// recognised as a repeat. A keyed request must reach the member within its window even if connecting takes the
+    /// recognised as a repeat. Once an attempt of a keyed request may run at any later time, there is no repeat. A
+    /// keyed request must reach the member within its window even if connecting takes the
     /// full time-out.
     pub(super) fn may_repeat(&self, request: &QueuedRequest) -> bool {
         if request.attempts_started >= self.settings.limits.max_attempts {
@@ -18,6 +19,8 @@
         }
         match self.class(request.class).idempotency {
             Idempotency::Idempotent => true,
+            // Members recognise the repeat, but not a first attempt that runs after the window of the repeat.
+            Idempotency::Keyed { .. } if request.may_run_later => false,
             Idempotency::Keyed { .. } => {
                 let connected = self.now + self.settings.limits.connect_timeout;
                 self.repeatable_until(request).is_some_and(|until| connected < until)
--- a/crates/decisions/tests/common/router_harness.rs
+++ b/crates/decisions/tests/common/router_harness.rs
@@ -80,6 +80,8 @@
     timers: Vec<(u64, u64)>,
     /// The number of requests so far, from which request ids are derived.
     request_count: u8,
+    /// Whether the requests from now on have long statements.
+    pub statements_are_long: bool,
 }
 
 impl RouterHarness {
@@ -106,7 +108,14 @@
     pub fn seeded(settings: Settings, seed: u64) -> RouterHarness {
         let now = 1_000_000 * MS;
         let router = Router::new(settings, seed, Time(now));
-        RouterHarness { router, now, actions: vec![], timers: vec![], request_count: 0 }
+        RouterHarness {
+            router,
+            now,
+            actions: vec![],
+            timers: vec![],
+            request_count: 0,
+            statements_are_long: false,
+        }
     }
 
     /// Delivers an event at the current time and records the actions.
@@ -151,6 +160,7 @@
             last_write_age: None,
             group: GROUP,
             session: session.map(SessionKey),
+            is_statement_long: self.statements_are_long,
         }));
         id
     }
--- a/crates/decisions/tests/policy/dispatch.rs
+++ b/crates/decisions/tests/policy/dispatch.rs
@@ -70,6 +70,7 @@
         last_write_age: Some(Micros(100 * MS)),
         group: GROUP,
         session: Some(SessionKey(1)),
+        is_statement_long: false,
     }));
     assert_eq!(harness.attempted_members(id), [1], "the read is sent to the primary at once, not queued");
 }
--- a/crates/decisions/tests/policy/hedging.rs
+++ b/crates/decisions/tests/policy/hedging.rs
@@ -96,3 +96,32 @@
         }
     }
 }
+
+/// Guards against a keyed write that is applied twice: its cancelled attempt lies unread in the member's system, and runs
+/// after the window of the repeat. Only an attempt that never runs may be repeated.
+#[test]
+fn a_long_keyed_write_is_repeated_only_if_its_attempt_was_not_written() {
+    for hedging in [false, true] {
+        let mut settings = default_settings();
+        settings.limits.hedging = hedging;
+        settings.classes[WRITE.0].idempotency =
+            Idempotency::Keyed { scope: DeduplicationScope::Group, window: Micros(5_000 * MS) };
+        settings.classes[WRITE.0].latency_objective = Micros(200 * MS);
+        let mut harness = RouterHarness::new(settings);
+        harness.statements_are_long = true;
+        let first = harness.send_request(WRITE, 2_000, None);
+        harness.statements_are_long = false;
+        for _ in 0..50 {
+            harness.advance(20);
+            let next = harness.send_request(WRITE, 2_000, None);
+            harness.end_attempt(next, 0, 1, AttemptResult::answered(20, harness.now, Role::Primary));
+        }
+        assert!(!harness.actions.contains(&Action::Cancel { id: first, attempt: 0 }));
+        assert_eq!(harness.attempted_members(first), [1], "the attempt may be in progress");
+        let cancel = Action::CancelIfUnwritten { id: first, attempt: 0 };
+        let cancels = harness.actions.iter().filter(|action| **action == cancel).count();
+        assert_eq!(cancels, 1);
+        harness.end_attempt(first, 0, 1, AttemptResult::without_report(Outcome::NotSent, 1_000));
+        assert_eq!(harness.attempted_members(first), [1, 1]);
+    }
+}
--- a/crates/decisions/tests/policy/history_model/mod.rs
+++ b/crates/decisions/tests/policy/history_model/mod.rs
@@ -161,6 +161,7 @@
             last_write_age,
             group: GROUP,
             session,
+            is_statement_long: false,
         }));
     }
 
--- a/crates/decisions/tests/policy/history_model/rules.rs
+++ b/crates/decisions/tests/policy/history_model/rules.rs
@@ -30,6 +30,7 @@
             Action::Send { id, member, .. } => self.check_send(id, member),
             Action::Reject { id, .. } => self.check_final_answer(id, true),
             Action::Fail { id } => self.check_final_answer(id, false),
+            Action::CancelIfUnwritten { .. } => unreachable!("no request has a long statement"),
             Action::Cancel { id, attempt } => {
                 assert!(self.settings.limits.cancel, "cancelled where the settings do not allow it");
                 assert!(self.requests[&id].attempts.len() > attempt as usize);
--- a/crates/decisions/tests/policy/retry.rs
+++ b/crates/decisions/tests/policy/retry.rs
@@ -33,6 +33,38 @@
     }
 }
 
+/// Guards against a keyed write that is applied twice: the proxy has closed the connection of its first attempt, whose
+/// long statement the member reads and runs after the window of the repeat. A member that resets the connection reads no
+/// more, and a rejection is a reply to the whole statement.
+#[test]
+fn a_long_keyed_write_is_not_repeated_while_it_may_run_later() {
+    let outcomes = [
+        (Outcome::Cancelled, false),
+        (Outcome::TimedOut, false),
+        (Outcome::MalformedReply, false),
+        (Outcome::Reset, true),
+        (Outcome::QueueFull, true),
+        (Outcome::NotSent, true),
+    ];
+    for (is_long, (outcome, is_repeated_if_long)) in
+        [false, true].into_iter().flat_map(|is_long| outcomes.map(|outcome| (is_long, outcome)))
+    {
+        let mut settings = default_settings();
+        settings.classes[WRITE.0].idempotency =
+            Idempotency::Keyed { scope: DeduplicationScope::All, window: Micros(5_000 * MS) };
+        let mut harness = RouterHarness::new(settings);
+        harness.statements_are_long = is_long;
+        let write = harness.send_request(WRITE, 2_000, None);
+        harness.advance(100);
+        harness.end_attempt(write, 0, 1, AttemptResult::without_report(outcome, 100));
+        harness.advance(500);
+        let is_repeated = is_repeated_if_long || !is_long;
+        assert_eq!(harness.attempted_members(write).len() > 1, is_repeated, "{outcome:?}, long: {is_long}");
+        // A client that is told to try again would send a repeat of its own.
+        assert_eq!(harness.actions.contains(&Action::Fail { id: write }), !is_repeated, "{outcome:?}");
+    }
+}
+
 /// Guards against a repeat whose last byte reaches the member after the deduplication window, since writing it takes long.
 #[test]
 fn a_keyed_repeat_must_be_written_within_its_window() {
--- a/crates/decisions/tests/policy/router.rs
+++ b/crates/decisions/tests/policy/router.rs
@@ -58,6 +58,7 @@
             last_write_age: None,
             group: GroupId(1_000 + u32::from(n)),
             session: None,
+            is_statement_long: false,
         };
         harness.handle(Event::RequestArrived(unknown));
         harness.advance(10);
--- a/crates/decisions/tests/policy/wait_queue.rs
+++ b/crates/decisions/tests/policy/wait_queue.rs
@@ -19,6 +19,7 @@
             last_write_age: None,
             group: GROUP,
             session: None,
+            is_statement_long: false,
         }));
         id
     };
--- a/crates/lab/src/decision_digest/encoding.rs
+++ b/crates/lab/src/decision_digest/encoding.rs
@@ -28,6 +28,9 @@
                 write!(line, "{now} R {} {retry_after}", request_number(id))
             }
             Action::Fail { id } => write!(line, "{now} F {}", request_number(id)),
+            Action::CancelIfUnwritten { id, attempt } => {
+                write!(line, "{now} U {} {attempt}", request_number(id))
+            }
             Action::Cancel { id, attempt } => write!(line, "{now} C {} {attempt}", request_number(id)),
             Action::SetTimer { token, at } => write!(line, "{now} T {token} {}", at.0),
             Action::CheckHealth { member } => write!(line, "{now} P {}", member.0),
--- a/crates/lab/src/decision_digest/history.rs
+++ b/crates/lab/src/decision_digest/history.rs
@@ -197,7 +197,9 @@
                     request.is_over = true;
                 }
             }
-            Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
+            Action::Cancel { id, attempt } | Action::CancelIfUnwritten { id, attempt } => {
+                self.cancel_attempt(id, attempt);
+            }
             Action::SetTimer { token, at } => {
                 self.schedule_in(at.0.saturating_sub(self.now), ScheduledEvent::Timer(token));
             }
@@ -248,6 +250,7 @@
             last_write_age,
             group,
             session,
+            is_statement_long: false,
         }));
     }
 
--- a/crates/lab/src/decision_digest/history/rare.rs
+++ b/crates/lab/src/decision_digest/history/rare.rs
@@ -131,6 +131,7 @@
         last_write_age: None,
         group,
         session: None,
+        is_statement_long: false,
     })
 }
 
--- a/src/bin/linenhill-simulator-adapter/decode.rs
+++ b/src/bin/linenhill-simulator-adapter/decode.rs
@@ -107,7 +107,8 @@
     let _predicted = fields.finite_or("predicted", 0.0)?;
     let group = decode_group(fields, "partitionNo")?;
     let session = decode_session(fields)?;
-    Ok(Request { id, class, time_left, tenant, last_write_age, group, session })
+    let is_statement_long = false;
+    Ok(Request { id, class, time_left, tenant, last_write_age, group, session, is_statement_long })
 }
 
 /// Decodes the number of a group, which may be any finite number and is truncated to 32 bits, saturating; 0 if
--- a/src/bin/linenhill-simulator-adapter/encode.rs
+++ b/src/bin/linenhill-simulator-adapter/encode.rs
@@ -34,6 +34,8 @@
         Action::Cancel { id, attempt } => {
             push_line(reply, format_args!("RECALL\t{}\t{attempt}", id_text(id)));
         }
+        // Only for long statements, which the simulator does not have.
+        Action::CancelIfUnwritten { .. } => {}
         Action::SetTimer { token, at } => push_line(reply, format_args!("TIMER\t{token}\t{}", at.0)),
         Action::CheckHealth { member } => push_line(reply, format_args!("POLL\t{}", member.0)),
         Action::Subscribe => push_line(reply, format_args!("WATCH\t1")),
--- a/src/request.rs
+++ b/src/request.rs
@@ -8,6 +8,10 @@
 /// only once however many attempts are being written.
 const MAX_COPIED_BYTES: usize = 4 * 1024;
 
+/// The longest statement, in bytes, that a member reads at once. The receive buffer of the member's system may hold a
+/// longer one for seconds while the member reads it piece by piece.
+pub const MAX_SHORT_STATEMENT_BYTES: usize = 16 * 1024;
+
 /// The text of a request without its timeout. Each attempt inserts the time left at its start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Payload {
@@ -26,6 +30,11 @@
         Payload { head: text.slice(..timeout.start), tail: text.slice(timeout.end..) }
     }
 
+    /// Whether a member may take seconds to read the request.
+    pub fn is_long(&self) -> bool {
+        self.head.len() + self.tail.len() > MAX_SHORT_STATEMENT_BYTES
+    }
+
     /// The request with this timeout, in two parts: the second one is empty unless the text after the timeout is too
     /// long to be copied.
     pub fn render_parts(&self, timeout_ms: u64) -> (Bytes, Bytes) {
--- a/src/stages/dispatch.rs
+++ b/src/stages/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::api::{AttemptEnd, Limits, MemberId, Micros, Outcome, RequestId};
 use crate::invariants::Invariant;
 use crate::request::Payload;
-use crate::upstream::attempt::{self, AttemptOutcome, AttemptRequest};
+use crate::upstream::attempt::{self, AttemptOutcome, AttemptRequest, Cancellation};
 use crate::upstream::health_check;
 use crate::upstream::pool::Pool;
 use crate::upstream::send_guard::Purpose;
@@ -26,7 +26,7 @@
     next_attempt: u32,
     /// The sender that cancels each attempt in flight, by attempt number. A cancelled attempt is removed before it
     /// ends.
-    in_flight: BTreeMap<u32, oneshot::Sender<()>>,
+    in_flight: BTreeMap<u32, oneshot::Sender<Cancellation>>,
     /// Shared with the attempts. Once it is set, no further statement is written.
     is_over: Rc<Cell<bool>>,
 }
@@ -157,7 +157,8 @@
     }
 
     fn spawn_attempt(
-        &self, attempt_id: AttemptId, attempt_request: AttemptRequest, cancelled: oneshot::Receiver<()>,
+        &self, attempt_id: AttemptId, attempt_request: AttemptRequest,
+        cancelled: oneshot::Receiver<Cancellation>,
     ) {
         let pool = self.pool.clone();
         let inbox = self.inbox.clone();
@@ -177,10 +178,10 @@
     }
 
     /// Cancels an attempt. Has no effect on the outcome of an attempt that has already ended.
-    pub fn cancel_attempt(&mut self, id: RequestId, attempt: u32) {
+    pub fn cancel_attempt(&mut self, id: RequestId, attempt: u32, cancellation: Cancellation) {
         let cancel = self.requests.get_mut(&id).and_then(|request| request.in_flight.remove(&attempt));
         if let Some(cancel) = cancel {
-            let _ = cancel.send(());
+            let _ = cancel.send(cancellation);
         }
     }
 
--- a/src/stages/driver.rs
+++ b/src/stages/driver.rs
@@ -20,6 +20,7 @@
 use crate::list_lease::ListUnusable;
 use crate::maintenance::Maintenance;
 use crate::policy::Router;
+use crate::upstream::attempt::Cancellation;
 use crate::upstream::pool::Pool;
 use crate::upstream::response::MemberResponse;
 use log::{debug, info};
@@ -297,7 +298,12 @@
             }
             Action::Reject { id, retry_after } => self.respond(id, FinalResponse::Rejected { retry_after }),
             Action::Fail { id } => self.respond(id, FinalResponse::Failed),
-            Action::Cancel { id, attempt } => self.dispatcher.cancel_attempt(id, attempt),
+            Action::Cancel { id, attempt } => {
+                self.dispatcher.cancel_attempt(id, attempt, Cancellation::Always);
+            }
+            Action::CancelIfUnwritten { id, attempt } => {
+                self.dispatcher.cancel_attempt(id, attempt, Cancellation::IfUnwritten);
+            }
             Action::SetTimer { token, at } => {
                 self.timers.insert((at, token));
             }
--- a/src/stages/request_intake.rs
+++ b/src/stages/request_intake.rs
@@ -147,6 +147,7 @@
             last_write_age: incoming.required_position_ms.filter(|_| level == ReadLevel::Session).map(age),
             group: GroupId(incoming.group),
             session: incoming.session_key.as_deref().filter(|_| has_session).map(session_key),
+            is_statement_long: incoming.payload.is_long(),
         }
     }
 }
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -15,6 +15,7 @@
 use crate::upstream::response::{MemberResponse, ResponseChunk, STREAM_WINDOW_CHUNKS, StreamingResponse};
 use crate::upstream::send_guard::{Purpose, SendIntent};
 use std::cell::Cell;
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -42,6 +43,15 @@
     pub is_request_over: Rc<Cell<bool>>,
 }
 
+/// Which attempts a cancellation ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancellation {
+    /// Any attempt, whether its statement was written or not.
+    Always,
+    /// An attempt of whose statement the last byte is not written, so that it never runs.
+    IfUnwritten,
+}
+
 /// The result of an attempt.
 pub struct AttemptOutcome {
     /// The outcome for the router.
@@ -69,7 +79,8 @@
 /// When this returns, the connection of the attempt is closed or back in the pool, so nothing of the request is in
 /// flight on it. A long answer is the exception: a separate task keeps its connection to forward the rest.
 pub async fn run(
-    pool: Pool, attempt_request: AttemptRequest, cancelled: oneshot::Receiver<()>, on_written: impl FnOnce(),
+    pool: Pool, attempt_request: AttemptRequest, cancelled: oneshot::Receiver<Cancellation>,
+    on_written: impl FnOnce(),
 ) -> AttemptOutcome {
     let AttemptRequest { member, payload, deadline, written_by, is_retry, purpose, is_request_over } =
         attempt_request;
@@ -97,9 +108,13 @@
             Ok(exchange_reply) => outcome_from_reply(&pool, member, exchange_reply),
             Err(outcome) => AttemptOutcome::without_response(outcome),
         },
-        _ = cancelled => {
+        cancellation = effective_cancellation(cancelled, &progress) => {
             progress.set_close_reason(CloseReason::Cancelled);
-            AttemptOutcome::without_response(Outcome::Cancelled)
+            let outcome = match cancellation {
+                Cancellation::Always => Outcome::Cancelled,
+                Cancellation::IfUnwritten => Outcome::NotSent,
+            };
+            AttemptOutcome::without_response(outcome)
         }
         () = sleep_until(deadline) => {
             progress.set_close_reason(CloseReason::TimedOut);
@@ -110,6 +125,16 @@
     }
 }
 
+/// Waits for a cancellation that ends the attempt in its present state.
+async fn effective_cancellation(
+    cancelled: oneshot::Receiver<Cancellation>, progress: &ExchangeProgress,
+) -> Cancellation {
+    match cancelled.await {
+        Ok(Cancellation::IfUnwritten) if progress.is_written() => pending().await,
+        cancellation => cancellation.unwrap_or(Cancellation::Always),
+    }
+}
+
 /// Converts a reply into the result of the attempt. If the reply is the beginning of a long answer, starts a task that
 /// forwards the rest.
 fn outcome_from_reply(pool: &Pool, member: MemberId, exchange_reply: ExchangeReply) -> AttemptOutcome {
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -2,7 +2,9 @@
 //! reply, and yields the rest of a long answer in chunks.
 //!
 //! Input that arrives before the statement, or belongs to an earlier one, must never be read as part of the reply, and a
-//! connection with outstanding input must never be reported as reusable. The close is logged once, with the reason set last.
+//! connection with outstanding input must never be reported as reusable. However a connection ends while its statement
+//! is in progress, also by the end of this process, the kernel must not deliver the rest of that statement afterwards.
+//! The close is logged once, with the reason set last.
 
 use crate::api::Outcome;
 use crate::close_reason::{CloseReason, Side, log_close};
@@ -37,11 +39,23 @@
 /// Capacity beyond which an empty buffer is replaced after a reply.
 const MAX_KEPT_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Size of the kernel's send buffer, in bytes, of which the kernel uses up to twice as much. While more than that of a
+/// statement is not delivered, its last byte is still in this process, and can be withheld. A buffer below two segments
+/// of the loopback interface would wait for delayed acknowledgements.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+/// The longest statement, in bytes, after which a connection is reused. The receive buffer of the member's system grows
+/// with longer ones, and would then take the whole of another one before the member reads it.
+const MAX_REUSED_STATEMENT_BYTES: usize = 64 * 1024;
+
 /// An open connection. Dropping it closes the socket, logs the close reason, and returns the descriptor and the quota.
 pub struct MemberConnection {
     framed: Framed<TcpStream, BackendCodec>,
     address: SocketAddr,
     sync: SyncState,
+    /// Whether a statement was begun whose reply is not complete, so that the member may not have received all of it.
+    has_open_statement: bool,
+    /// Whether a statement longer than [`MAX_REUSED_STATEMENT_BYTES`] was written.
+    has_carried_long_statement: bool,
     close_reason: Rc<Cell<CloseReason>>,
     /// Held for its drop, which returns the descriptor.
     _descriptor: ResourcePermit,
@@ -51,6 +65,9 @@
 
 impl Drop for MemberConnection {
     fn drop(&mut self) {
+        if !self.has_open_statement {
+            set_abort_on_close(self.framed.get_ref(), false);
+        }
         log_close(Side::Member, self.address, self.close_reason.get());
     }
 }
@@ -99,12 +116,16 @@
     ) -> Result<MemberConnection, Outcome> {
         let deadline = Instant::now() + connect_timeout;
         let stream = connect(address, deadline).await?;
-        // Without the option the socket works, only with higher latency.
+        // Without these options the socket works, only with higher latency and more memory.
         let _ = stream.set_nodelay(true);
+        set_abort_on_close(&stream, true);
+        let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
         let mut connection = MemberConnection {
             framed: Framed::new(stream, BackendCodec::default()),
             address,
             sync: SyncState::default(),
+            has_open_statement: false,
+            has_carried_long_statement: false,
             close_reason: Rc::new(Cell::new(CloseReason::ConnectTimeout)),
             _descriptor: descriptor,
             _quota: QuotaUnit::default(),
@@ -142,12 +163,6 @@
         self._quota = quota;
     }
 
-    /// Discards what is not yet delivered to the member when the connection closes.
-    pub fn discard_unsent(&self) {
-        // Fails only if the socket has failed, and then nothing more is delivered.
-        let _ = SockRef::from(self.framed.get_ref()).set_linger(Some(Duration::ZERO));
-    }
-
     /// The member's address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -161,6 +176,9 @@
     /// Writes the empty query whose answer shows that nothing else is outstanding, unless no statement was written since
     /// the last one. Returns whether the connection can be kept.
     pub fn begin_sync_check(&mut self) -> bool {
+        if self.has_carried_long_statement {
+            return false;
+        }
         if matches!(self.sync, SyncState::Unknown) {
             let Some(check) = SyncCheck::begin(self.framed.get_ref()) else { return false };
             self.sync = SyncState::Checking(check);
@@ -215,6 +233,8 @@
     ) -> Result<(), Outcome> {
         permit.check_at_write();
         self.sync = SyncState::Unknown;
+        self.has_open_statement = true;
+        self.has_carried_long_statement |= head.len() + tail.len() > MAX_REUSED_STATEMENT_BYTES;
         let result = if tail.is_empty() {
             self.framed.send(Command::Query(head)).await
         } else {
@@ -253,6 +273,7 @@
                     return assembler.finish_streaming(memory.acquire(STREAM_MEMORY_BYTES).await);
                 }
                 ReplyProgress::Complete(outcome) => {
+                    self.has_open_statement = false;
                     // The reply is valid even if further input follows it, but the connection is not reused then.
                     is_reusable = self.check_usable();
                     break outcome;
@@ -310,7 +331,10 @@
             };
             match message {
                 BackendMessage::ValueChunk(bytes) => return StreamEvent::Chunk(bytes),
-                BackendMessage::CommandComplete(bytes) => return StreamEvent::End(bytes),
+                BackendMessage::CommandComplete(bytes) => {
+                    self.has_open_statement = false;
+                    return StreamEvent::End(bytes);
+                }
                 BackendMessage::ReadyForQuery if self.check_usable() => return StreamEvent::Ready,
                 // Input follows the end of the reply; `check_usable` has set the close reason.
                 BackendMessage::ReadyForQuery => return StreamEvent::Broken,
@@ -337,6 +361,13 @@
     }
 }
 
+/// Sets whether closing a connection discards what the kernel has not delivered to the member, and resets the
+/// connection. An orderly close goes on delivering, also after the end of this process.
+fn set_abort_on_close(stream: &TcpStream, aborts: bool) {
+    // Fails only if the socket has failed, and then nothing more is delivered.
+    let _ = SockRef::from(stream).set_linger(aborts.then_some(Duration::ZERO));
+}
+
 /// Connects to a member. A failed connection is logged here, since it never becomes a [`MemberConnection`].
 async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, Outcome> {
     let reason = match timeout_at(deadline, TcpStream::connect(address)).await {
--- a/src/upstream/exchange.rs
+++ b/src/upstream/exchange.rs
@@ -7,6 +7,7 @@
 use crate::close_reason::CloseReason;
 use crate::fleet::quota::QuotaUnit;
 use crate::list_lease::ListUnusable;
+use crate::request::MAX_SHORT_STATEMENT_BYTES;
 use crate::upstream::connection::MemberConnection;
 use crate::upstream::pool::Pool;
 use crate::upstream::reply::StatementReply;
@@ -16,10 +17,6 @@
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
 
-/// The longest statement that has reached the member's system once it is written: a connection carries one statement at a
-/// time, so the buffers of both systems are empty before it.
-const MAX_DELIVERED_BYTES: usize = 16 * 1024;
-
 /// The progress of an exchange, for the code that cancels it from outside.
 #[derive(Default)]
 pub(super) struct ExchangeProgress {
@@ -50,7 +47,8 @@
     pub(super) streaming_connection: Option<MemberConnection>,
 }
 
-/// An exchange of one statement with one member. Dropping the future of [`Exchange::run`] closes the connection in use.
+/// An exchange of one statement with one member. Dropping the future of [`Exchange::run`] closes the connection in use,
+/// and discards what the member has not received of the statement.
 pub(super) struct Exchange<'a> {
     pub(super) pool: &'a Pool,
     pub(super) intent: &'a SendIntent,
@@ -93,7 +91,7 @@
             return Err(Outcome::NotSent);
         };
         let (head, tail) = render();
-        let is_long = head.len() + tail.len() > MAX_DELIVERED_BYTES;
+        let is_long = head.len() + tail.len() > MAX_SHORT_STATEMENT_BYTES;
         self.write_in_time(&mut connection, permit, head, tail).await?;
         self.progress.is_written.set(true);
         on_written();
@@ -125,7 +123,6 @@
         match timeout_at(written_by, connection.read_reply(self.pool.response_memory())).await {
             Ok(reply) => self.finish_reply(connection, reply),
             Err(_) => {
-                connection.discard_unsent();
                 connection.close_reason().set(CloseReason::TimedOut);
                 ExchangeReply {
                     reply: StatementReply::without_answer(Outcome::TimedOut),
--- a/tests/components/member_connection.rs
+++ b/tests/components/member_connection.rs
@@ -6,7 +6,7 @@
 use linenhill::request::Payload;
 use linenhill::resource_limit::ResourceLimit;
 use linenhill::response_memory::ResponseMemory;
-use linenhill::upstream::attempt::{self, AttemptRequest};
+use linenhill::upstream::attempt::{self, AttemptRequest, Cancellation};
 use linenhill::upstream::connection::MemberConnection;
 use linenhill::upstream::pool::{Pool, PoolLimits};
 use linenhill::upstream::send_guard::{Purpose, SendIntent, SendPermit};
@@ -16,7 +16,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -176,29 +176,114 @@
     LocalSet::new().run_until(steps).await;
 }
 
-/// Runs an attempt with a statement of this length, at a member that never reads it. Returns its outcome, and how much of
-/// it the member's system has received in the end.
-async fn attempt_at_a_member_that_does_not_read(statement_bytes: usize) -> (Outcome, usize) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind listener");
-    let pool = new_pool(1, LONG_TIMEOUT, listener.local_addr().expect("local address"));
+/// The parameters of an attempt with a statement of this length, with no time limit that a test reaches.
+fn long_attempt(statement_bytes: usize) -> AttemptRequest {
     let statement = [b"/* d=9 */ SELECT ".as_slice(), &vec![b'1'; statement_bytes]].concat();
-    let attempt_request = AttemptRequest {
+    AttemptRequest {
         member: MEMBER,
         payload: Payload::split_at_timeout(&Bytes::from(statement), 5..6),
         deadline: Instant::now() + LONG_TIMEOUT,
-        written_by: Some(Instant::now() + Duration::from_millis(300)),
+        written_by: None,
         is_retry: true,
         purpose: Purpose::Attempt(RequestId([b'a'; 36]), 1),
         is_request_over: Rc::default(),
-    };
+    }
+}
+
+/// Reads all that the system of a member has received on a connection, up to its end.
+async fn received_bytes(mut member_stream: TcpStream) -> usize {
+    let mut received = Vec::new();
+    let _ = member_stream.read_to_end(&mut received).await;
+    received.len()
+}
+
+/// Runs an attempt with a statement of this length, at a member that never reads it. Returns its outcome, and how much of
+/// it the member's system has received in the end.
+async fn attempt_at_a_member_that_does_not_read(statement_bytes: usize) -> (Outcome, usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind listener");
+    let pool = new_pool(1, LONG_TIMEOUT, listener.local_addr().expect("local address"));
+    let written_by = Some(Instant::now() + Duration::from_millis(300));
+    let attempt_request = AttemptRequest { written_by, ..long_attempt(statement_bytes) };
     let (_cancel, cancelled) = tokio::sync::oneshot::channel();
     let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, || ()));
     let mut member_stream = accept_startup(&listener).await;
     member_stream.write_all(&startup_answer()).await.expect("write");
     let outcome = run.await.expect("attempt task").outcome;
-    let mut received = Vec::new();
-    let _ = member_stream.read_to_end(&mut received).await;
-    (outcome, received.len())
+    (outcome, received_bytes(member_stream).await)
+}
+
+/// A member whose system takes a few thousand bytes of a statement before the member reads them, and a pool for it.
+fn member_with_small_receive_buffer() -> (TcpListener, Pool) {
+    let socket = TcpSocket::new_v4().expect("create socket");
+    socket.set_recv_buffer_size(4 * 1024).expect("set receive buffer");
+    socket.bind("127.0.0.1:0".parse().expect("valid address")).expect("bind listener");
+    let listener = socket.listen(16).expect("listen");
+    let pool = new_pool(1, LONG_TIMEOUT, listener.local_addr().expect("local address"));
+    (listener, pool)
+}
+
+/// How an attempt ends while the kernel still delivers its statement to the member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptEnding {
+    /// The router or the client's departure cancels it.
+    Cancelled,
+    /// Its deadline passes.
+    Deadline,
+    /// Its task ends with the process.
+    TaskEnd,
+    /// The member sends a reply that the protocol does not allow.
+    MalformedReply,
+    /// The member begins a reply and does not continue it.
+    StalledReply,
+}
+
+/// Ends an attempt whose statement is written and of which its member has not read anything. Returns how much of the
+/// statement the member's system has received in the end.
+async fn received_after(ending: AttemptEnding, statement_bytes: usize) -> usize {
+    let (listener, pool) = member_with_small_receive_buffer();
+    let mut attempt_request = long_attempt(statement_bytes);
+    if ending == AttemptEnding::Deadline {
+        attempt_request.deadline = Instant::now() + Duration::from_millis(500);
+    }
+    let (cancel, cancelled) = tokio::sync::oneshot::channel();
+    let (written, is_written) = tokio::sync::oneshot::channel();
+    let on_written = || written.send(()).expect("the test waits for the statement");
+    let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, on_written));
+    let mut member_stream = accept_startup(&listener).await;
+    member_stream.write_all(&startup_answer()).await.expect("write");
+    is_written.await.expect("the statement should fit the buffers of both systems");
+    match ending {
+        AttemptEnding::Cancelled => {
+            cancel.send(Cancellation::Always).expect("the attempt should be in progress")
+        }
+        AttemptEnding::Deadline => {}
+        AttemptEnding::TaskEnd => run.abort(),
+        AttemptEnding::MalformedReply => member_stream.write_all(b"Z\0\0\0\x05I").await.expect("write"),
+        AttemptEnding::StalledReply => member_stream.write_all(b"T\0\0").await.expect("write"),
+    }
+    let _ = run.await;
+    received_bytes(member_stream).await
+}
+
+/// Guards against an attempt that is over and whose statement still arrives whole, and is applied a second time after
+/// its repeat: the kernel goes on delivering what was written before an orderly close.
+#[tokio::test]
+async fn nothing_of_a_statement_arrives_after_the_end_of_its_attempt() {
+    let steps = async {
+        // Fits the send buffer, and not the receive buffer of the member's system.
+        let statement_bytes = 40 * 1024;
+        for ending in [
+            AttemptEnding::Cancelled,
+            AttemptEnding::Deadline,
+            AttemptEnding::TaskEnd,
+            AttemptEnding::MalformedReply,
+            AttemptEnding::StalledReply,
+        ] {
+            let received = received_after(ending, statement_bytes).await;
+            assert!(received < statement_bytes, "{ending:?}: all {received} bytes arrived");
+        }
+    };
+    LocalSet::new().run_until(steps).await;
 }
 
 /// Guards against a repeat of a keyed write that a slow member receives whole after the window of its key, and applies a
@@ -217,6 +302,35 @@
     LocalSet::new().run_until(steps).await;
 }
 
+/// Guards against a repeat beside an attempt that may still run, and against a request that waits for a member that reads
+/// its statement too slowly: an attempt is cancelled as an unwritten one only while its last byte is in this process.
+#[tokio::test]
+async fn an_attempt_is_cancelled_as_unwritten_only_while_its_last_byte_is_here() {
+    let steps = async {
+        for (statement_bytes, outcome) in [(4 << 20, Outcome::NotSent), (40 * 1024, Outcome::Ok)] {
+            let (listener, pool) = member_with_small_receive_buffer();
+            let (cancel, cancelled) = tokio::sync::oneshot::channel();
+            let attempt_request = long_attempt(statement_bytes);
+            let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, || ()));
+            let mut member_stream = accept_startup(&listener).await;
+            member_stream.write_all(&startup_answer()).await.expect("write");
+            // The writing has begun, and the shorter statement is written with the same write.
+            assert_eq!(member_stream.read_u8().await.ok(), Some(b'Q'));
+            cancel.send(Cancellation::IfUnwritten).expect("the attempt should be in progress");
+            if outcome == Outcome::Ok {
+                member_stream.read_exact(&mut vec![0; statement_bytes]).await.expect("read statement");
+                let row = typed_message(b'D', b"\0\x01\0\0\0\x01x");
+                let reply = ReplyMessages::new().with_row(&row);
+                member_stream.write_all(&reply).await.expect("write");
+            }
+            assert_eq!(run.await.expect("attempt task").outcome, outcome);
+            let received = received_bytes(member_stream).await;
+            assert!(received < statement_bytes, "{received} of {statement_bytes} bytes");
+        }
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
 /// Returns a permit to write to a member that accepts statements.
 async fn permit_for_test() -> SendPermit {
     let pool = new_pool(1, LONG_TIMEOUT, "127.0.0.1:1".parse().expect("valid address"));
