Disconnect a client for not reading only when it takes nothing of its answers for 10 s

Cause: a whole answer had 3 s to be written, whether the client went on reading or not.

Change: answers are written as far as the client takes them, each step within 10 s, the limit that long answers had; short replies are encoded into a buffer of the reply.

--- a/src/clients/session/respond.rs
+++ b/src/clients/session/respond.rs
@@ -8,21 +8,18 @@
 use crate::clients::pipeline::{PipelinedRequest, RequestState};
 use crate::clients::request_gateway::PendingRequest;
 use crate::close_reason::CloseReason;
-use crate::pg::PgError;
 use crate::pg::backend::INITIAL_BUFFER_BYTES;
 use crate::pg::frontend::Reply;
 use crate::stages::FinalResponse;
 use crate::upstream::response::{ResponseChunk, StreamingResponse};
 use bytes::BytesMut;
-use futures_util::SinkExt;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, timeout};
+use tokio_util::codec::Encoder;
 
-/// Time limit for writing an answer, after which the client is disconnected.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time limit for writing each part of a long answer; clients may take seconds to read one.
-const STREAM_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// A client that takes nothing of its answers for this long is disconnected. Clients may take seconds to read.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// After a fatal error, input is discarded until none arrives for this long, so that the error reaches the client.
 const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Total time limit for discarding input.
@@ -118,9 +115,10 @@
             };
             match chunk {
                 Some(ResponseChunk::More(bytes)) => {
-                    let written =
-                        timeout(STREAM_WRITE_TIMEOUT, self.framed.get_mut().write_all(&bytes)).await;
-                    written.map_err(|_| CloseReason::WriteTimeout)?.map_err(|_| CloseReason::ClientGone)?;
+                    self.write(&bytes).await.map_err(|reason| match reason {
+                        CloseReason::Io => CloseReason::ClientGone,
+                        reason => reason,
+                    })?;
                 }
                 Some(ResponseChunk::Last(bytes)) => {
                     pending.finish_streaming(true);
@@ -137,33 +135,38 @@
         }
     }
 
-    /// Writes complete replies.
+    /// Writes complete replies. An answer that is longer than the buffer is written directly: its memory is released once
+    /// it is written, and a copy would not be counted.
     pub(super) async fn send<const N: usize>(&mut self, replies: [Reply; N]) -> Result<(), CloseReason> {
+        let mut buffer = BytesMut::new();
         // The replies are kept until they are written, since the memory of an answer counts for its copy in the buffer.
-        let all = async {
-            for reply in &replies {
-                self.write_reply(reply.clone()).await?;
+        for reply in &replies {
+            match reply {
+                Reply::Raw(bytes) if bytes.len() > INITIAL_BUFFER_BYTES => {
+                    self.write(&buffer).await?;
+                    buffer.clear();
+                    self.write(bytes).await?;
+                }
+                reply => {
+                    let encoded = self.framed.codec_mut().encode(reply.clone(), &mut buffer);
+                    encoded.map_err(|error| replies::close_reason(&error))?;
+                }
             }
-            SinkExt::<Reply>::flush(&mut self.framed).await
-        };
-        match timeout(WRITE_TIMEOUT, all).await {
-            Ok(written) => written.map_err(|error| replies::close_reason(&error))?,
-            Err(_) => return Err(CloseReason::WriteTimeout),
         }
-        *self.framed.write_buffer_mut() = BytesMut::new();
-        Ok(())
+        self.write(&buffer).await
     }
 
-    /// Writes a reply, or adds it to the write buffer. An answer that is longer than the buffer is written directly:
-    /// its memory is released once it is written, and a copy in the buffer would not be counted.
-    async fn write_reply(&mut self, reply: Reply) -> Result<(), PgError> {
-        match reply {
-            Reply::Raw(bytes) if bytes.len() > INITIAL_BUFFER_BYTES => {
-                SinkExt::<Reply>::flush(&mut self.framed).await?;
-                Ok(self.framed.get_mut().write_all(&bytes).await?)
+    /// Writes bytes for as long as the client takes some of them within [`WRITE_STALL_TIMEOUT`].
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
+        let mut remaining = bytes;
+        while !remaining.is_empty() {
+            let written = timeout(WRITE_STALL_TIMEOUT, self.framed.get_mut().write(remaining)).await;
+            match written.map_err(|_| CloseReason::WriteTimeout)? {
+                Ok(length) if length > 0 => remaining = &remaining[length..],
+                Ok(_) | Err(_) => return Err(CloseReason::Io),
             }
-            reply => self.framed.feed(reply).await,
         }
+        Ok(())
     }
 
     /// Shuts down the write side and discards input for a limited time, or until the connection is asked to close:
--- a/tests/components/client_requests.rs
+++ b/tests/components/client_requests.rs
@@ -7,6 +7,7 @@
 use linenhill::close_reason::CloseReason;
 use linenhill::lifecycle::ServingState;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::time::sleep;
 
 /// Guards against a request with the id of an open request that is submitted, or that affects the open one.
@@ -139,3 +140,30 @@
         assert_eq!(reason, expected_reason);
     }
 }
+
+/// Guards against a client that is cut off with commands unanswered because it takes seconds to read: what counts is that
+/// it goes on reading. A client that has stopped reading is disconnected.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_reads_slowly_gets_all_its_answers() {
+    // Each answer is longer than the buffer of the connection.
+    let answer: &'static str = "v".repeat(20_000).leak();
+    for (pause, is_served) in [(Duration::from_secs(4), true), (Duration::from_secs(30), false)] {
+        let (SessionFixture { mut client, session, serving_state: _serving_state }, mut events) =
+            SessionFixture::with_own_gateway();
+        let steps = async {
+            write(&mut client, &[STARTUP, &query("1", "list"), &query("2", "list")].concat()).await;
+            serve(next_accepted(&mut events).await, answer);
+            serve(next_accepted(&mut events).await, answer);
+            write(&mut client, TERMINATE).await;
+            let mut received = 0;
+            for _ in 0..5 {
+                sleep(pause).await;
+                received += client.read(&mut [0; 10_000]).await.expect("read");
+            }
+            received + read_to_end(&mut client).await.len()
+        };
+        let (reason, received) = tokio::join!(session, steps);
+        assert_eq!(received > 2 * answer.len(), is_served, "{received} bytes, {reason}");
+        assert_eq!(reason, if is_served { CloseReason::Terminated } else { CloseReason::WriteTimeout });
+    }
+}
