Count what a member says behind a long value before its client has the answer's end

Cause: the attempt of a long answer ends with the head of its row, and the parameters behind the value (commit position, role, load report) were dropped.

Change: they are collected while the rest is relayed, and told to the router (LongAnswerEnded) before the client gets the end of the answer. A write whose long answer breaks off has run: its commit is taken to be as late as now.

--- a/crates/decisions/src/api/events.rs
+++ b/crates/decisions/src/api/events.rs
@@ -147,6 +147,26 @@
     pub report: LoadReport,
 }
 
+/// The end of a long answer, which is relayed while it arrives: its attempt ended when it began. What the member says
+/// behind the value comes with this event.
+#[derive(Clone, Debug)]
+pub struct LongAnswerEnd {
+    /// The member that answers.
+    pub member: MemberId,
+    /// Group of the request.
+    pub group: GroupId,
+    /// Class of the request.
+    pub class: ClassId,
+    /// Client session of the request, if any.
+    pub session: Option<SessionKey>,
+    /// Applied position of the member, or the commit position of a write, if it came behind the value.
+    pub position: Option<LogPosition>,
+    /// Role that the member reported behind the value, if any.
+    pub role: Option<Role>,
+    /// Load report that came behind the value; empty without one.
+    pub report: LoadReport,
+}
+
 /// An event for a router.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -162,6 +182,8 @@
     },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
+    /// A long answer ended, complete or not. It comes before the client has the end of the answer.
+    LongAnswerEnded(LongAnswerEnd),
     /// The client left, or the driver answered its request at the deadline; the request needs no final answer.
     ClientGone {
         /// Id of the request.
--- a/crates/decisions/src/policy/attempt_outcome.rs
+++ b/crates/decisions/src/policy/attempt_outcome.rs
@@ -8,7 +8,10 @@
 use super::member_health::{Ejection, Response};
 use super::primary_tracking::RoleReport;
 use super::router::Router;
-use crate::api::{Action, AttemptEnd, GroupId, LogPosition, MemberId, Micros, Outcome, ReadLevel, Role};
+use crate::api::{
+    Action, AttemptEnd, GroupId, LoadReport, LogPosition, LongAnswerEnd, MemberId, Micros, Outcome,
+    ReadLevel, Role, SessionKey, SessionPositions,
+};
 
 /// Maximum age, on arrival, of the role that an answer to an attempt reports.
 const ANSWER_ROLE_AGE_MAX: Micros = Micros::from_millis(2);
@@ -112,15 +115,22 @@
     }
 
     fn record_position_and_role(&mut self, ended: &EndedAttempt, out: &mut Vec<Action>) {
-        let id = ended.end.member;
-        let role = ended.role();
+        let (id, position, role) = (ended.end.member, ended.applied_position(), ended.role());
+        self.record_answer_state(id, position, role, &ended.end.report, out);
+    }
+
+    /// Records what a member says with an answer: the position that it has applied, its role and its load report.
+    fn record_answer_state(
+        &mut self, id: MemberId, position: Option<LogPosition>, role: Option<Role>, report: &LoadReport,
+        out: &mut Vec<Action>,
+    ) {
         let as_of = self.now.saturating_sub(ANSWER_ROLE_AGE_MAX);
         let role_report = RoleReport { role, primary_as_of: as_of, replica_as_of: self.now };
-        self.record_report(id, ended.applied_position(), role_report);
+        self.record_report(id, position, role_report);
         if let (Some(member), Some(role)) = (self.members.get_mut(&id), role) {
             member.role.is_confirmed_primary = role == Role::Primary;
         }
-        let reported = ended.end.report.position;
+        let reported = report.position;
         let reported = reported.map(|position| position.saturating_sub(POSITION_ROUNDING));
         self.record_report(id, reported, RoleReport::default());
         self.gossip_position(id, out);
@@ -132,11 +142,32 @@
             return;
         }
         let (Some(session), Some(commit)) = (ended.sent.session, ended.end.position) else { return };
-        let commits = &mut self.groups.entry(ended.group).or_default().session_commits;
+        self.record_commit(ended.group, session, commit);
+    }
+
+    fn record_commit(&mut self, group: GroupId, session: SessionKey, commit: LogPosition) {
+        let commits = &mut self.groups.entry(group).or_default().session_commits;
         commits.record(session, commit);
         commits.shrink_to(SESSIONS_MAX);
     }
 
+    /// Handles the end of a long answer. A write that has answered has run, also if the answer broke off: without its
+    /// position, its commit is assumed to be as late as now.
+    pub(super) fn on_long_answer_ended(&mut self, end: LongAnswerEnd, out: &mut Vec<Action>) {
+        let Some(class) = self.settings.classes.get(end.class.0) else { return };
+        let is_write = class.read_level == ReadLevel::Write;
+        let rounding = if is_write { POSITION_ROUNDING } else { Micros(0) };
+        let applied = end.position.map(|position| position.saturating_sub(rounding));
+        self.record_cpu_utilisation(end.member, end.report.utilisation);
+        self.record_answer_state(end.member, applied, end.role, &end.report, out);
+        let remembers_sessions = self.settings.session_positions == SessionPositions::Remembered;
+        if let Some(session) = end.session.filter(|_| is_write && remembers_sessions) {
+            let commit = end.position.unwrap_or_else(|| self.now.as_log_position());
+            self.record_commit(end.group, session, commit);
+        }
+        self.dispatch_queued(end.group, out);
+    }
+
     /// Updates the fraction of unanswered attempts. A cancelled attempt counts as unanswered if its request is still
     /// open and the member has answered an attempt that was sent much later. Other cancelled attempts, and those that
     /// reached no member, are not counted.
--- a/crates/decisions/src/policy/router.rs
+++ b/crates/decisions/src/policy/router.rs
@@ -114,6 +114,7 @@
             Event::ListUpdated(update) => self.on_list(update),
             Event::RequestArrived(request) => self.on_request(request, out),
             Event::AttemptEnded(end) => self.on_attempt_ended(end, out),
+            Event::LongAnswerEnded(end) => self.on_long_answer_ended(end, out),
             Event::ClientGone { id } => self.on_client_gone(id, out),
             Event::TimerDue { token } => self.on_timer(token, out),
             Event::AttemptStarted { .. } => {}
--- a/crates/decisions/tests/policy/read_position.rs
+++ b/crates/decisions/tests/policy/read_position.rs
@@ -29,6 +29,33 @@
     );
 }
 
+/// Guards against session reads that miss a write with a long answer, whose commit position comes behind the value, or
+/// does not come since the answer broke off.
+#[test]
+fn commit_behind_a_long_answer_counts_for_its_session() {
+    for has_position in [true, false] {
+        let mut harness = RouterHarness::new(default_settings());
+        let write = harness.send_request(WRITE, 2_000, Some(5));
+        harness.advance(30);
+        harness.end_attempt(write, 0, 1, AttemptResult::without_report(Outcome::Ok, 30));
+        harness.advance(20);
+        let commit = harness.now;
+        harness.handle(Event::LongAnswerEnded(LongAnswerEnd {
+            member: MemberId(1),
+            group: GROUP,
+            class: WRITE,
+            session: Some(SessionKey(5)),
+            position: has_position.then_some(LogPosition(commit)),
+            role: None,
+            report: LoadReport::default(),
+        }));
+        let read = harness.send_request(SESSION, 1_000, Some(5));
+        assert!(harness.attempted_members(read).is_empty(), "no replica is known to have applied the write");
+        harness.report_health(3, commit + 5 * MS, Role::Replica);
+        assert_eq!(harness.attempted_members(read), [3]);
+    }
+}
+
 /// Guards against a bounded read at a replica whose last known position is older than the bound.
 #[test]
 fn bounded_read_position_moves_with_time() {
--- a/src/stages/dispatch.rs
+++ b/src/stages/dispatch.rs
@@ -3,12 +3,13 @@
 
 use super::DriverInput;
 use super::accounting::RequestAccounting;
-use crate::api::{AttemptEnd, Limits, MemberId, Micros, Outcome, RequestId};
+use crate::api::{AttemptEnd, Limits, LongAnswerEnd, MemberId, Micros, Outcome, Request, RequestId};
 use crate::invariants::Invariant;
 use crate::request::Payload;
 use crate::upstream::attempt::{self, AttemptOutcome, AttemptRequest, Cancellation};
 use crate::upstream::health_check;
 use crate::upstream::pool::Pool;
+use crate::upstream::reply::ReportedState;
 use crate::upstream::send_guard::Purpose;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -20,6 +21,7 @@
 
 /// A request with its attempts.
 struct DispatchedRequest {
+    request: Request,
     payload: Payload,
     deadline: Instant,
     /// The number of the next attempt.
@@ -79,6 +81,19 @@
     }
 }
 
+/// The end of a long answer to `request` from `member`, with what the member has said behind the value.
+fn long_answer_end(request: &Request, member: MemberId, state: ReportedState) -> LongAnswerEnd {
+    LongAnswerEnd {
+        member,
+        group: request.group,
+        class: request.class,
+        session: request.session,
+        position: state.position,
+        role: state.role,
+        report: state.report,
+    }
+}
+
 /// Dispatches the attempts of requests to members.
 pub struct Dispatcher {
     requests: BTreeMap<RequestId, DispatchedRequest>,
@@ -107,8 +122,10 @@
     }
 
     /// Registers a request, so that attempts of it can be started.
-    pub fn register(&mut self, id: RequestId, payload: Payload, deadline: Instant) {
+    pub fn register(&mut self, request: Request, payload: Payload, deadline: Instant) {
+        let id = request.id;
         let request = DispatchedRequest {
+            request,
             payload,
             deadline,
             next_attempt: 0,
@@ -153,11 +170,12 @@
             is_request_over: request.is_over.clone(),
         };
         self.accounting.record_attempt_started();
-        self.spawn_attempt(attempt_id, attempt_request, cancelled);
+        let request = request.request.clone();
+        self.spawn_attempt(attempt_id, request, attempt_request, cancelled);
     }
 
     fn spawn_attempt(
-        &self, attempt_id: AttemptId, attempt_request: AttemptRequest,
+        &self, attempt_id: AttemptId, request: Request, attempt_request: AttemptRequest,
         cancelled: oneshot::Receiver<Cancellation>,
     ) {
         let pool = self.pool.clone();
@@ -165,7 +183,12 @@
         let accounting = self.accounting.clone();
         spawn_local(async move {
             let on_written = || accounting.record_statement_written();
-            let end = attempt::run(pool, attempt_request, cancelled, on_written).await;
+            let answers = inbox.clone();
+            let on_long_answer_end = move |state| {
+                let end = long_answer_end(&request, attempt_id.member, state);
+                let _ = answers.send(DriverInput::LongAnswerEnded(end));
+            };
+            let end = attempt::run(pool, attempt_request, cancelled, on_written, on_long_answer_end).await;
             accounting.record_attempt_outcome(end.outcome);
             let _ = inbox.send(attempt_id.into_input(end));
         });
--- a/src/stages/driver.rs
+++ b/src/stages/driver.rs
@@ -160,6 +160,7 @@
             DriverInput::RequestAccepted(accepted) => self.request_accepted(*accepted),
             DriverInput::ClientGone(id) => self.client_gone(id),
             DriverInput::AttemptEnded(end, response) => self.attempt_ended(end, response),
+            DriverInput::LongAnswerEnded(end) => self.handle_event(Event::LongAnswerEnded(end)),
             DriverInput::HealthCheckEnded(member, outcome, report) => {
                 self.handle_event(Event::HealthCheckEnded { member, outcome, report });
             }
@@ -184,7 +185,7 @@
         }
         self.quota.record_demand();
         self.responses.register(request.id, reply, deadline + ANSWER_OVERDUE_GRACE);
-        self.dispatcher.register(request.id, payload, deadline);
+        self.dispatcher.register(request.clone(), payload, deadline);
         self.handle_event(Event::RequestArrived(request));
     }
 
--- a/src/stages/mod.rs
+++ b/src/stages/mod.rs
@@ -10,7 +10,7 @@
 pub mod response_channel;
 pub mod response_delivery;
 
-use crate::api::{AttemptEnd, LoadReport, MemberId, Micros, Outcome, Request, RequestId};
+use crate::api::{AttemptEnd, LoadReport, LongAnswerEnd, MemberId, Micros, Outcome, Request, RequestId};
 use crate::discovery::list::ListEvent;
 use crate::request::Payload;
 use crate::upstream::response::{MemberResponse, STREAM_MEMORY_BYTES, StreamingResponse};
@@ -77,6 +77,8 @@
     ClientGone(RequestId),
     /// An attempt ended, with its response if it was served. The driver sets `is_request_over`.
     AttemptEnded(AttemptEnd, Option<MemberResponse>),
+    /// A long answer ended, whose attempt ended when it began.
+    LongAnswerEnded(LongAnswerEnd),
     /// A health check ended.
     HealthCheckEnded(MemberId, Outcome, LoadReport),
     /// A list was received or read from the configuration, a call reported no change, or a call or watch ended.
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -11,9 +11,10 @@
 use crate::upstream::connection::{MemberConnection, StreamEvent};
 use crate::upstream::exchange::{Exchange, ExchangeProgress, ExchangeReply};
 use crate::upstream::pool::Pool;
-use crate::upstream::reply::StatementReply;
+use crate::upstream::reply::{ReportedState, StatementReply};
 use crate::upstream::response::{MemberResponse, ResponseChunk, STREAM_WINDOW_CHUNKS, StreamingResponse};
 use crate::upstream::send_guard::{Purpose, SendIntent};
+use bytes::Bytes;
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
@@ -74,13 +75,14 @@
 }
 
 /// Runs an attempt until it is answered, fails, is cancelled or reaches its deadline. `on_written` is called once the
-/// last byte of the statement is written.
+/// last byte of the statement is written, and `on_long_answer_end` at the end of a long answer, complete or not, before the end is
+/// forwarded.
 ///
 /// When this returns, the connection of the attempt is closed or back in the pool, so nothing of the request is in
 /// flight on it. A long answer is the exception: a separate task keeps its connection to forward the rest.
 pub async fn run(
     pool: Pool, attempt_request: AttemptRequest, cancelled: oneshot::Receiver<Cancellation>,
-    on_written: impl FnOnce(),
+    on_written: impl FnOnce(), on_long_answer_end: impl FnOnce(ReportedState) + 'static,
 ) -> AttemptOutcome {
     let AttemptRequest { member, payload, deadline, written_by, is_retry, purpose, is_request_over } =
         attempt_request;
@@ -105,7 +107,7 @@
     tokio::select! {
         biased;
         result = &mut running => match result {
-            Ok(exchange_reply) => outcome_from_reply(&pool, member, exchange_reply),
+            Ok(exchange_reply) => outcome_from_reply(&pool, member, exchange_reply, on_long_answer_end),
             Err(outcome) => AttemptOutcome::without_response(outcome),
         },
         cancellation = effective_cancellation(cancelled, &progress) => {
@@ -137,17 +139,27 @@
 
 /// Converts a reply into the result of the attempt. If the reply is the beginning of a long answer, starts a task that
 /// forwards the rest.
-fn outcome_from_reply(pool: &Pool, member: MemberId, exchange_reply: ExchangeReply) -> AttemptOutcome {
+fn outcome_from_reply(
+    pool: &Pool, member: MemberId, exchange_reply: ExchangeReply,
+    on_long_answer_end: impl FnOnce(ReportedState) + 'static,
+) -> AttemptOutcome {
     let ExchangeReply { reply, streaming_connection } = exchange_reply;
-    let StatementReply { outcome, raw, position, role, report, memory, .. } = reply;
+    let StatementReply { outcome, raw, state, memory, .. } = reply;
     let response = (outcome == Outcome::Ok).then(|| match streaming_connection {
         None => MemberResponse::Complete(raw),
         Some(connection) => {
             let (chunks, rest) = mpsc::channel(STREAM_WINDOW_CHUNKS);
-            tokio::task::spawn_local(forward_rest(pool.clone(), member, connection, chunks));
+            tokio::task::spawn_local(forward_rest(
+                pool.clone(),
+                member,
+                connection,
+                chunks,
+                on_long_answer_end,
+            ));
             MemberResponse::Streaming(StreamingResponse { first: raw, rest, memory })
         }
     });
+    let ReportedState { position, role, report } = state;
     AttemptOutcome { outcome, response, position, role, report }
 }
 
@@ -156,26 +168,42 @@
 /// observes a failure here.
 async fn forward_rest(
     pool: Pool, member: MemberId, mut connection: MemberConnection, chunks: mpsc::Sender<ResponseChunk>,
+    on_end: impl FnOnce(ReportedState),
 ) {
     let deadline = Instant::now() + STREAM_TIMEOUT;
+    let completion = forward_value(&mut connection, &chunks, deadline).await;
+    // What the member says of itself may come behind the completion.
+    let is_ready = completion.is_some() && matches!(connection.next_chunk().await, StreamEvent::Ready);
+    // Before the client has its answer, after which its session may rely on what the member has said.
+    on_end(connection.take_trailing_state());
+    if is_ready {
+        pool.put_back(member, connection);
+    } else {
+        drop(connection);
+    }
+    if let Some(completion) = completion {
+        let _ = timeout_at(deadline, chunks.send(ResponseChunk::Last(completion))).await;
+    }
+}
+
+/// Forwards the chunks of a long value; returns the completion behind it. `None`, with the close reason set, if the member
+/// or the client ends the answer before.
+async fn forward_value(
+    connection: &mut MemberConnection, chunks: &mpsc::Sender<ResponseChunk>, deadline: Instant,
+) -> Option<Bytes> {
     loop {
         let chunk = match connection.next_chunk().await {
             StreamEvent::Chunk(bytes) => ResponseChunk::More(bytes),
-            StreamEvent::End(bytes) => ResponseChunk::Last(bytes),
-            StreamEvent::Ready => return pool.put_back(member, connection),
-            StreamEvent::Broken => return,
+            StreamEvent::End(completion) => return Some(completion),
+            StreamEvent::Ready | StreamEvent::Broken => return None,
         };
-        let is_end = matches!(chunk, ResponseChunk::Last(_));
         let delivery = timeout_at(deadline, chunks.send(chunk)).await;
         let is_late = delivery.is_err() || Instant::now() >= deadline;
-        let is_delivered = matches!(delivery, Ok(Ok(())));
-        // After the end of the answer only `ReadyForQuery` is outstanding, so the connection can be reused even if the
-        // client is gone.
-        if is_end || (is_delivered && !is_late) {
+        if matches!(delivery, Ok(Ok(()))) && !is_late {
             continue;
         }
         let reason = if is_late { CloseReason::TimedOut } else { CloseReason::Cancelled };
         connection.close_reason().set(reason);
-        return;
+        return None;
     }
 }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -14,7 +14,7 @@
 use crate::resource_limit::ResourcePermit;
 use crate::response_memory::ResponseMemory;
 use crate::socket_state::{PendingInput, pending_input};
-use crate::upstream::reply::{ReplyAssembler, ReplyProgress, StatementReply, outcome_of};
+use crate::upstream::reply::{ReplyAssembler, ReplyProgress, ReportedState, StatementReply, outcome_of};
 use crate::upstream::response::STREAM_MEMORY_BYTES;
 use crate::upstream::send_guard::SendPermit;
 use crate::upstream::sync_check::{SyncCheck, SyncProgress, SyncState};
@@ -52,6 +52,8 @@
     sync: SyncState,
     /// Whether a statement was begun whose reply is not complete, so that the member may not have received all of it.
     has_open_statement: bool,
+    /// What the member has said of itself behind the beginning of a long answer.
+    trailing_state: ReportedState,
     /// Whether a statement longer than [`MAX_REUSED_STATEMENT_BYTES`] was written.
     has_carried_long_statement: bool,
     close_reason: Rc<Cell<CloseReason>>,
@@ -123,6 +125,7 @@
             address,
             sync: SyncState::default(),
             has_open_statement: false,
+            trailing_state: ReportedState::default(),
             has_carried_long_statement: false,
             close_reason: Rc::new(Cell::new(CloseReason::ConnectTimeout)),
             _descriptor: descriptor,
@@ -339,12 +342,20 @@
                 BackendMessage::ReadyForQuery if self.check_usable() => return StreamEvent::Ready,
                 // Input follows the end of the reply; `check_usable` has set the close reason.
                 BackendMessage::ReadyForQuery => return StreamEvent::Broken,
-                BackendMessage::ParameterStatus { .. } | BackendMessage::Ignored => {}
+                BackendMessage::ParameterStatus { name, value } => {
+                    self.trailing_state.record_parameter(&name, &value);
+                }
+                BackendMessage::Ignored => {}
                 _ => return self.break_stream(CloseReason::Protocol),
             }
         }
     }
 
+    /// Takes what the member has said of itself since the beginning of the long answer.
+    pub fn take_trailing_state(&mut self) -> ReportedState {
+        std::mem::take(&mut self.trailing_state)
+    }
+
     fn break_stream(&self, reason: CloseReason) -> StreamEvent {
         self.close_reason.set(reason);
         StreamEvent::Broken
--- a/src/upstream/health_check.rs
+++ b/src/upstream/health_check.rs
@@ -42,5 +42,5 @@
 /// The report in the column of the reply, or else the one in the `health` parameter.
 fn load_report(reply: StatementReply) -> LoadReport {
     let column = reply.column.and_then(|column| String::from_utf8(column.to_vec()).ok());
-    column.map_or(reply.report, |text| report::parse(&text))
+    column.map_or(reply.state.report, |text| report::parse(&text))
 }
--- a/src/upstream/reply.rs
+++ b/src/upstream/reply.rs
@@ -25,6 +25,34 @@
 /// SQLSTATE `cannot_connect_now`.
 const CANNOT_CONNECT_NOW: &[u8] = b"57P03";
 
+/// What a member says of itself with a reply, in parameters before or behind the row.
+#[derive(Clone, Debug, Default)]
+pub struct ReportedState {
+    /// The member's replication position, or the commit position of a write.
+    pub position: Option<LogPosition>,
+    /// The role that the member reported.
+    pub role: Option<Role>,
+    /// The load report of the member; empty if it sent none.
+    pub report: LoadReport,
+}
+
+impl ReportedState {
+    /// Records a `ParameterStatus` message. A value that can't be parsed counts as absent.
+    pub(super) fn record_parameter(&mut self, name: &[u8], value: &[u8]) {
+        let text = std::str::from_utf8(value).unwrap_or("");
+        match name {
+            b"lsn_ms" => {
+                let ms = text.parse::<u64>().ok().filter(|ms| *ms > 0);
+                self.position = ms.map(|ms| LogPosition(ms.saturating_mul(1_000)));
+            }
+            b"recovery" if text == "off" => self.role = Some(Role::Primary),
+            b"recovery" if text == "on" => self.role = Some(Role::Replica),
+            b"health" => self.report = report::parse(text),
+            _ => {}
+        }
+    }
+}
+
 /// The reply to one statement.
 pub struct StatementReply {
     /// The outcome of the statement.
@@ -34,12 +62,8 @@
     /// The value of the single column, if it is at most 1 KiB long. A longer one is in `raw` only, so that
     /// it is not held twice.
     pub column: Option<Bytes>,
-    /// The member's replication position, or the commit position of a write.
-    pub position: Option<LogPosition>,
-    /// The role that the member reported.
-    pub role: Option<Role>,
-    /// The load report of the member; empty if it sent none.
-    pub report: LoadReport,
+    /// What the member says of itself.
+    pub state: ReportedState,
     /// Whether the connection can carry another statement.
     pub is_reusable: bool,
     /// Whether only the beginning of a long answer was read; the rest follows in chunks.
@@ -60,29 +84,12 @@
             outcome,
             raw: Bytes::new(),
             column: None,
-            position: None,
-            role: None,
-            report: LoadReport::default(),
+            state: ReportedState::default(),
             is_reusable: false,
             is_streaming: false,
             memory: None,
         }
     }
-
-    /// Records a `ParameterStatus` message. A value that can't be parsed counts as absent.
-    fn record_parameter(&mut self, name: &[u8], value: &[u8]) {
-        let text = std::str::from_utf8(value).unwrap_or("");
-        match name {
-            b"lsn_ms" => {
-                let ms = text.parse::<u64>().ok().filter(|ms| *ms > 0);
-                self.position = ms.map(|ms| LogPosition(ms.saturating_mul(1_000)));
-            }
-            b"recovery" if text == "off" => self.role = Some(Role::Primary),
-            b"recovery" if text == "on" => self.role = Some(Role::Replica),
-            b"health" => self.report = report::parse(text),
-            _ => {}
-        }
-    }
 }
 
 /// The message of a reply that is expected next.
@@ -181,7 +188,7 @@
                 return ReplyProgress::Complete(outcome);
             }
             (_, BackendMessage::ParameterStatus { name, value }) => {
-                self.reply.record_parameter(&name, &value);
+                self.reply.state.record_parameter(&name, &value);
             }
             (_, BackendMessage::Ignored) => {}
             _ => return ReplyProgress::Broken(Outcome::MalformedReply, CloseReason::Protocol),
--- a/tests/components/member_connection.rs
+++ b/tests/components/member_connection.rs
@@ -2,14 +2,17 @@
 
 use crate::{peer, typed_message};
 use bytes::Bytes;
-use linenhill::api::{LogPosition, MemberId, Outcome, RequestId};
+use linenhill::api::{LogPosition, MemberId, Outcome, RequestId, Role};
 use linenhill::request::Payload;
 use linenhill::resource_limit::ResourceLimit;
 use linenhill::response_memory::ResponseMemory;
 use linenhill::upstream::attempt::{self, AttemptRequest, Cancellation};
 use linenhill::upstream::connection::MemberConnection;
 use linenhill::upstream::pool::{Pool, PoolLimits};
+use linenhill::upstream::reply::ReportedState;
+use linenhill::upstream::response::{MemberResponse, ResponseChunk};
 use linenhill::upstream::send_guard::{Purpose, SendIntent, SendPermit};
+use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -164,7 +167,13 @@
                 is_request_over: Rc::default(),
             };
             let (_cancel, cancelled) = tokio::sync::oneshot::channel();
-            let run = tokio::task::spawn_local(attempt::run(pool.clone(), attempt_request, cancelled, || ()));
+            let run = tokio::task::spawn_local(attempt::run(
+                pool.clone(),
+                attempt_request,
+                cancelled,
+                || (),
+                |_| (),
+            ));
             let mut member_stream = accept_startup(&listener).await;
             pool.set_accepting(|_| !is_draining);
             member_stream.write_all(&startup_answer()).await.expect("write");
@@ -205,7 +214,7 @@
     let written_by = Some(Instant::now() + Duration::from_millis(300));
     let attempt_request = AttemptRequest { written_by, ..long_attempt(statement_bytes) };
     let (_cancel, cancelled) = tokio::sync::oneshot::channel();
-    let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, || ()));
+    let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, || (), |_| ()));
     let mut member_stream = accept_startup(&listener).await;
     member_stream.write_all(&startup_answer()).await.expect("write");
     let outcome = run.await.expect("attempt task").outcome;
@@ -248,7 +257,7 @@
     let (cancel, cancelled) = tokio::sync::oneshot::channel();
     let (written, is_written) = tokio::sync::oneshot::channel();
     let on_written = || written.send(()).expect("the test waits for the statement");
-    let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, on_written));
+    let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, on_written, |_| ()));
     let mut member_stream = accept_startup(&listener).await;
     member_stream.write_all(&startup_answer()).await.expect("write");
     is_written.await.expect("the statement should fit the buffers of both systems");
@@ -311,7 +320,7 @@
             let (listener, pool) = member_with_small_receive_buffer();
             let (cancel, cancelled) = tokio::sync::oneshot::channel();
             let attempt_request = long_attempt(statement_bytes);
-            let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, || ()));
+            let run = tokio::task::spawn_local(attempt::run(pool, attempt_request, cancelled, || (), |_| ()));
             let mut member_stream = accept_startup(&listener).await;
             member_stream.write_all(&startup_answer()).await.expect("write");
             // The writing has begun, and the shorter statement is written with the same write.
@@ -331,6 +340,48 @@
     LocalSet::new().run_until(steps).await;
 }
 
+/// Guards against what a member says behind a long value being dropped, or being told after the client has the end of its
+/// answer: the next read of its session relies on it.
+#[tokio::test]
+async fn what_a_member_says_behind_a_long_value_counts() {
+    let steps = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind listener");
+        let pool = new_pool(1, LONG_TIMEOUT, listener.local_addr().expect("local address"));
+        let (_cancel, cancelled) = tokio::sync::oneshot::channel();
+        let reported = Rc::new(RefCell::new(None));
+        let on_long_answer_end = {
+            let reported = reported.clone();
+            move |state: ReportedState| *reported.borrow_mut() = Some((state.position, state.role))
+        };
+        let request = long_attempt(1);
+        let run = tokio::task::spawn_local(attempt::run(pool, request, cancelled, || (), on_long_answer_end));
+        let mut member_stream = accept_startup(&listener).await;
+        member_stream.write_all(&startup_answer()).await.expect("write");
+        assert!(member_stream.read(&mut [0; 256]).await.expect("read statement") > 0);
+        let value = vec![b'v'; 100_000];
+        let row = [b"\0\x01".as_slice(), &(value.len() as u32).to_be_bytes(), &value].concat();
+        let ReplyMessages { description, complete, ready, .. } = ReplyMessages::new();
+        let head = [&description[..], &typed_message(b'D', &row), &complete].concat();
+        let parameters =
+            [typed_message(b'S', b"lsn_ms\x0042\0"), typed_message(b'S', b"recovery\0off\0")].concat();
+        member_stream.write_all(&head).await.expect("write");
+        let response = run.await.expect("attempt task").response;
+        let Some(MemberResponse::Streaming(mut response)) = response else {
+            panic!("expected a long answer")
+        };
+        let answer =
+            async { while !matches!(response.rest.recv().await, None | Some(ResponseChunk::Last(_))) {} };
+        let parameters = async {
+            assert!(reported.borrow().is_none(), "the parameters are not written yet");
+            member_stream.write_all(&[parameters, ready].concat()).await.expect("write");
+        };
+        tokio::join!(answer, parameters);
+        let expected = Some((Some(LogPosition(42_000)), Some(Role::Primary)));
+        assert_eq!(*reported.borrow(), expected, "told before the end of the answer");
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
 /// Returns a permit to write to a member that accepts statements.
 async fn permit_for_test() -> SendPermit {
     let pool = new_pool(1, LONG_TIMEOUT, "127.0.0.1:1".parse().expect("valid address"));
@@ -400,7 +451,11 @@
     let mut answered = connection_answered_with(&bytes).await;
     let memory = ResponseMemory::new(RESPONSE_BYTES, Rc::default());
     let reply = answered.connection.read_reply(&memory).await;
-    ReadReply { outcome: reply.outcome, position: reply.report.position, is_reusable: reply.is_reusable }
+    ReadReply {
+        outcome: reply.outcome,
+        position: reply.state.report.position,
+        is_reusable: reply.is_reusable,
+    }
 }
 
 /// The messages of a reply with one row of one column.
