Let a member pause for up to 10 s within a reply of over 8 KiB

An answer that a member was still writing, in pieces 0.4 s apart, was cut off: 20 of 20 reads of 60 kB were rejected.

Cause: a pause of 0.25 s within a reply broke the connection, whatever its length.

Change: a reply whose row is announced with over 8 KiB has 10 s for its next bytes. A shorter one comes at once, so a pause in it stays a fault.

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -31,10 +31,12 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
-/// Once bytes of a reply have arrived, a period of this length without further bytes breaks the connection.
+/// Once bytes of a reply with a short row have arrived, a period of this length without further bytes breaks the
+/// connection.
 const REPLY_GAP_TIMEOUT: Duration = Duration::from_millis(250);
-/// Timeout for the next chunk of a long answer. Longer than [`REPLY_GAP_TIMEOUT`], since members may pause for seconds
-/// within a long answer.
+/// The longest reply, in bytes, that members write at once.
+const MAX_SHORT_REPLY_BYTES: usize = 8 * 1024;
+/// Timeout for the next bytes of a longer reply, since members may pause for seconds within it.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Size of the kernel's send buffer, in bytes, of which the kernel uses up to twice as much. While more than that of a
@@ -268,7 +270,9 @@
         let mut assembler = ReplyAssembler::new();
         let mut is_reusable = false;
         let outcome = loop {
-            let message = self.next_message(assembler.has_begun()).await;
+            let is_long = assembler.reply_bytes() > MAX_SHORT_REPLY_BYTES;
+            let gap_timeout = if is_long { CHUNK_TIMEOUT } else { REPLY_GAP_TIMEOUT };
+            let message = self.next_message(assembler.has_begun(), gap_timeout).await;
             match assembler.push(message) {
                 ReplyProgress::Incomplete => {}
                 ReplyProgress::RowFollows(bytes) => {
@@ -302,11 +306,13 @@
     }
 
     /// The next message of a reply. There is no timeout for the first byte of a reply. Afterwards the buffer is
-    /// compared every [`REPLY_GAP_TIMEOUT`], and a period without further bytes is an error.
-    async fn next_message(&mut self, has_begun: bool) -> Option<Result<BackendMessage, PgError>> {
+    /// compared every `gap_timeout`, and a period without further bytes is an error.
+    async fn next_message(
+        &mut self, has_begun: bool, gap_timeout: Duration,
+    ) -> Option<Result<BackendMessage, PgError>> {
         let mut buffered = self.framed.read_buffer().len();
         loop {
-            if let Ok(message) = timeout(REPLY_GAP_TIMEOUT, self.framed.next()).await {
+            if let Ok(message) = timeout(gap_timeout, self.framed.next()).await {
                 return message;
             }
             let buffered_before = buffered;
--- a/src/upstream/reply.rs
+++ b/src/upstream/reply.rs
@@ -143,6 +143,11 @@
         !matches!(self.expected, ExpectedMessage::Description)
     }
 
+    /// Size of the reply as announced by its row, in bytes; 0 before the row.
+    pub(super) fn reply_bytes(&self) -> usize {
+        self.reply_bytes
+    }
+
     /// Adds the next message of the connection; `None` is the end of the connection.
     pub(super) fn push(&mut self, message: Option<Result<BackendMessage, PgError>>) -> ReplyProgress {
         match message {
--- a/tests/components/member_connection.rs
+++ b/tests/components/member_connection.rs
@@ -458,6 +458,27 @@
     }
 }
 
+/// Guards against an answer that is cut off while its member still writes it, with pauses of a fraction of a second. A
+/// short reply comes at once, so a pause in it is a fault.
+#[tokio::test]
+async fn a_member_may_pause_in_a_longer_reply() {
+    for (value_bytes, outcome) in [(20_000, Outcome::Ok), (2_000, Outcome::MalformedReply)] {
+        let value = vec![b'v'; value_bytes];
+        let row = [b"\0\x01".as_slice(), &(value.len() as u32).to_be_bytes(), &value].concat();
+        let reply = ReplyMessages::new().with_row(&typed_message(b'D', &row));
+        let (first, rest) = reply.split_at(reply.len() / 2);
+        let mut answered = connection_answered_with(first).await;
+        let memory = ResponseMemory::new(RESPONSE_BYTES, Rc::default());
+        let write_rest = async {
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            // The connection may be broken by now.
+            let _ = answered.member_stream.write_all(rest).await;
+        };
+        let (reply, ()) = tokio::join!(answered.connection.read_reply(&memory), write_rest);
+        assert_eq!(reply.outcome, outcome, "{value_bytes} bytes");
+    }
+}
+
 /// The messages of a reply with one row of one column.
 struct ReplyMessages {
     description: Vec<u8>,
