Give ordinary messages more of the memory and long ones less

At 32 MB with 1,024 descriptors 95 of 150 slow writers of 60 kB were served where 139 were.

Change: 34% of what the connections leave for them (7.3 MiB at these limits) and 38% for long messages (8.2 MiB, which holds one of maximum length).

--- a/src/proxy/capacity.rs
+++ b/src/proxy/capacity.rs
@@ -31,10 +31,10 @@
 /// Memory of a connection to a member besides the replies, in bytes: a read buffer that is in use.
 const MEMBER_CONNECTION_BYTES: usize = INITIAL_BUFFER_BYTES;
 /// Of the memory that remains, the fraction that ordinary client messages share until they are answered.
-const MESSAGES_FRACTION: f64 = 0.26;
+const MESSAGES_FRACTION: f64 = 0.34;
 /// Of the memory that remains, the fraction for long messages. At the smallest limits, 32 MB with 1,024 descriptors, it
 /// holds one message of maximum length.
-const LONG_MESSAGES_FRACTION: f64 = 0.44;
+const LONG_MESSAGES_FRACTION: f64 = 0.38;
 /// Of the memory that remains, the fraction for replies of members, from their arrival until their clients have them.
 const RESPONSES_FRACTION: f64 = 0.23;
 /// Of the memory that remains, the fraction for the part of these replies that may wait behind an unanswered request. The
